--- /dev/null
+++ b/internal/adapter/hostlisthttp/hostlisthttp.go
@@ -0,0 +1,52 @@
+// Package hostlisthttp reads the platform's list of live and leaving hosts, a
+// JSON array of {"id","state"} objects, over HTTP.
+package hostlisthttp
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/cassiapass/cassiapass/internal/port"
+)
+
+const (
+	timeout = 5 * time.Second
+	maxBody = 8 << 20
+)
+
+// Client implements port.HostList.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// New returns a Client that reads the list at url.
+func New(url string) *Client {
+	return &Client{url: url, http: &http.Client{Timeout: timeout}}
+}
+
+// List implements port.HostList.
+func (c *Client) List(ctx context.Context) ([]port.Host, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, oops.Wrapf(err, "host list")
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, oops.Wrapf(err, "host list")
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, oops.Errorf("host list: status %d", res.StatusCode)
+	}
+	var out []port.Host
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxBody)).Decode(&out); err != nil {
+		return nil, oops.Wrapf(err, "host list")
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/adapter/logs/logs.go
@@ -0,0 +1,61 @@
+// Package logs writes one line of key=value pairs per event.
+package logs
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes to w at the given level and above. Values
+// are quoted where they need it, so every event stays on one line.
+func New(w io.Writer, level zerolog.Level, role, host string) zerolog.Logger {
+	out := zerolog.ConsoleWriter{
+		Out:           w,
+		NoColor:       true,
+		PartsOrder:    []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
+		FormatMessage: func(v any) string { return pair("event", v) },
+		FormatLevel:   func(v any) string { return pair("level", v) },
+		FormatTimestamp: func(v any) string {
+			return pair("time", v)
+		},
+		FormatFieldName:     func(v any) string { return fmt.Sprint(v) + "=" },
+		FormatFieldValue:    func(v any) string { return value(v) },
+		FormatErrFieldName:  func(any) string { return "error=" },
+		FormatErrFieldValue: func(v any) string { return value(v) },
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(out).Level(level).With().Timestamp().Str("role", role).Str("host", host).Logger()
+}
+
+func pair(k string, v any) string {
+	if v == nil {
+		return k + "="
+	}
+	return k + "=" + value(v)
+}
+
+// value formats one value, quoted if a reader could mistake its end.
+func value(v any) string {
+	var s string
+	switch x := v.(type) {
+	case string:
+		s = x
+	case []byte:
+		s = string(x)
+	default:
+		s = fmt.Sprint(x)
+	}
+	// zerolog hands over values that it has quoted already.
+	if u, err := strconv.Unquote(s); err == nil && strings.HasPrefix(s, `"`) {
+		s = u
+	}
+	if s == "" || strings.ContainsAny(s, " \t\r\n\"=") {
+		return strconv.Quote(s)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/app/control/control.go
@@ -0,0 +1,358 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+
+	"github.com/cassiapass/cassiapass/internal/adapter/disklog"
+	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
+	"github.com/cassiapass/cassiapass/internal/core/consensus"
+	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/member"
+	"github.com/cassiapass/cassiapass/internal/core/placement"
+	"github.com/cassiapass/cassiapass/internal/core/state"
+	"github.com/cassiapass/cassiapass/internal/port"
+	"github.com/cassiapass/cassiapass/internal/wire"
+)
+
+// Config is what a control host is made from.
+type Config struct {
+	Host      ident.HostID
+	Group     ident.Group
+	Listen    string // address for the system's own processes
+	Advertise string // address under which other processes reach Listen; Listen's own if empty
+	DataDir   string
+	// Bootstrap starts a new group with this host as its only voter when the
+	// data folder is empty. Without it an empty host waits to be added.
+	Bootstrap bool
+	Security  rpc.Security
+	Placement placement.Config
+	Leases    member.Config
+	HostList  port.HostList // nil if the platform has none
+	HostEvery time.Duration
+	Log       zerolog.Logger
+	// Fatal is called once when the process must stop: a broken disk.
+	Fatal func(error)
+}
+
+// Control is one running control host.
+type Control struct {
+	cfg    Config
+	id     consensus.NodeID
+	loop   *loop
+	hub    *hub
+	peers  *peers
+	srv    *rpc.Server
+	count  *rpc.Counter
+	met    *metrics
+	disk   *disklog.Log
+	cancel context.CancelFunc
+}
+
+// New opens the data folder and starts the control host.
+func New(cfg Config) (*Control, error) {
+	fresh := func() disklog.Identity {
+		return disklog.Identity{Node: consensus.NodeID(rand.Uint64() | 1), Group: cfg.Group}
+	}
+	disk, res, err := disklog.Open(cfg.DataDir, fresh)
+	if err != nil {
+		return nil, err
+	}
+	if res.Identity.Group != cfg.Group {
+		_ = disk.Close()
+		return nil, oops.Errorf("data folder %s belongs to group %q, not %q", cfg.DataDir, res.Identity.Group, cfg.Group)
+	}
+	c := &Control{cfg: cfg, id: res.Identity.Node, count: &rpc.Counter{}, disk: disk}
+	if err := c.start(res); err != nil {
+		_ = disk.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Control) start(res *disklog.Restored) error {
+	st, err := state.Decode(res.Snapshot.Data)
+	if err != nil {
+		return err
+	}
+	c.hub = newHub(c.copyAll)
+	c.peers = newPeers(c.id, c.cfg.Security, c.count)
+	c.met = newMetrics(c.count, c.Status, c.hub.subscribers)
+	c.srv, err = rpc.Listen(c.cfg.Listen, c.cfg.Security, c.count, c.handle, c.hub.unsubscribe, c.authFailed)
+	if err != nil {
+		return err
+	}
+	if err := c.bootstrap(res); err != nil {
+		return err
+	}
+	c.loop = &loop{
+		log: c.cfg.Log, st: st, disk: c.disk, send: c.sendAndFollow, hub: c.hub, met: c.met, fatal: c.cfg.Fatal, group: c.cfg.Group,
+		duties: &duties{log: c.cfg.Log, cfg: c.cfg.Placement, leases: c.cfg.Leases},
+		tasks:  make(chan func(), taskQueue), stopped: make(chan struct{}), done: make(chan struct{}),
+		waiters: map[uint64]waiter{}, reads: map[uint64]chan<- uint64{},
+		// Read contexts are unique over restarts, so that an answer to an
+		// earlier process cannot be taken for one to this.
+		nextRead: rand.Uint64() >> 1,
+	}
+	c.loop.node = consensus.New(consensus.Config{
+		ID: c.id, ElectionTicks: electionTicks, HeartbeatTicks: voterBeat, ObserverTicks: observerBeat,
+		Rand: rand.IntN, HardState: res.HardState, Snapshot: res.Snapshot, Entries: res.Entries,
+	})
+	c.hub.reset(ident.Index(res.Snapshot.Index))
+	c.peers.update(c.loop.node.Status().Membership)
+	c.cfg.Log.Info().Uint64("node", uint64(c.id)).Str("address", c.Addr()).Int("entries", len(res.Entries)).Uint64("snapshot", res.Snapshot.Index).Int("torn_bytes", res.TornBytes).Msg("control_started")
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	go c.loop.run()
+	go c.forwardBeats(ctx)
+	if c.cfg.HostList != nil {
+		go c.pollHosts(ctx)
+	}
+	return nil
+}
+
+// bootstrap starts a new group on an empty data folder if asked to.
+func (c *Control) bootstrap(res *disklog.Restored) error {
+	empty := res.Snapshot.Index == 0 && len(res.Entries) == 0
+	if !c.cfg.Bootstrap || !empty {
+		return nil
+	}
+	self := consensus.Member{ID: c.id, Addr: c.Addr(), Voter: true}
+	res.Snapshot = consensus.Bootstrap(consensus.Membership{Members: []consensus.Member{self}})
+	return c.disk.SaveSnapshot(res.Snapshot)
+}
+
+// Addr returns the address under which other processes reach this host.
+func (c *Control) Addr() string {
+	if c.cfg.Advertise != "" {
+		return c.cfg.Advertise
+	}
+	return c.srv.Addr()
+}
+
+// ListenAddr returns the address that this host is bound to.
+func (c *Control) ListenAddr() string { return c.srv.Addr() }
+
+// ID returns the member identity.
+func (c *Control) ID() consensus.NodeID { return c.id }
+
+func (c *Control) authFailed(remote string, err error) {
+	c.cfg.Log.Warn().Str("remote", remote).Err(err).Msg("connection_refused")
+}
+
+// sendAndFollow sends messages and keeps the connections in step with the
+// membership. It runs in the loop.
+func (c *Control) sendAndFollow(msgs []consensus.Message) {
+	if len(msgs) == 0 {
+		return
+	}
+	c.peers.update(c.loop.node.Status().Membership)
+	c.peers.send(msgs)
+}
+
+// copyAll returns everything that subscribers know, as changes.
+func (c *Control) copyAll() (ident.Index, []state.Change, error) {
+	var index ident.Index
+	var out []state.Change
+	err := c.loop.with(func() {
+		st := c.loop.st
+		index = st.Index()
+		for _, r := range st.Records() {
+			out = append(out, state.Change{Index: r.Revision, Record: &r})
+		}
+		for _, e := range st.Endpoints() {
+			out = append(out, state.Change{Index: e.Revision, Endpoint: &e})
+		}
+		for _, r := range st.Replicas() {
+			out = append(out, state.Change{Index: r.Revision, Replica: &r})
+		}
+	})
+	return index, out, err
+}
+
+const beatForward = 250 * time.Millisecond
+
+// forwardBeats sends what this host's subscribers said to the leader.
+func (c *Control) forwardBeats(ctx context.Context) {
+	t := time.NewTicker(beatForward)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		leader := c.leader()
+		if leader == c.id || leader == consensus.None {
+			continue // the leader takes them itself; without one they wait
+		}
+		if beats := c.hub.takeBeats(); len(beats) > 0 {
+			c.forward(ctx, leader, beats)
+		}
+	}
+}
+
+func (c *Control) forward(ctx context.Context, leader consensus.NodeID, beats []wire.Beat) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	var res wire.SessionsResult
+	if err := c.peers.call(ctx, leader, wire.MethodSessions, wire.Sessions{From: c.id, Beats: beats}, &res); err != nil {
+		c.hub.putBack(beats) // reports may hold what is not said again
+		return
+	}
+	c.hub.setEntries(res.Entries)
+}
+
+func (c *Control) pollHosts(ctx context.Context) {
+	t := time.NewTicker(c.cfg.HostEvery)
+	defer t.Stop()
+	for {
+		hosts, err := c.cfg.HostList.List(ctx)
+		if err == nil {
+			c.loop.post(func() { c.loop.duties.list(time.Now(), hosts) })
+		} else if ctx.Err() == nil {
+			c.cfg.Log.Warn().Err(err).Msg("host_list_failed")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// leader returns the leader known to this host, without waiting for the loop.
+func (c *Control) leader() consensus.NodeID { return consensus.NodeID(c.loop.leader.Load()) }
+
+// Status returns the consensus status.
+func (c *Control) Status() consensus.Status {
+	var s consensus.Status
+	_ = c.loop.with(func() { s = c.loop.node.Status() })
+	return s
+}
+
+// Propose decides a command, through whichever host leads. The error is one of
+// the package's outcomes; ErrLost and a timeout leave open whether the command
+// was carried out.
+func (c *Control) Propose(ctx context.Context, cmd state.Command) (state.Result, error) {
+	for {
+		res, err := c.proposeOnce(ctx, cmd)
+		if !errors.Is(err, consensus.ErrNotLeader) && !errors.Is(err, ErrNoLeader) && !errors.Is(err, consensus.ErrTransferring) {
+			return res, err
+		}
+		// It was not proposed: wait for a leader within the caller's time.
+		select {
+		case <-ctx.Done():
+			return state.Result{}, ErrNoLeader
+		case <-time.After(redialPause):
+		}
+	}
+}
+
+func (c *Control) proposeOnce(ctx context.Context, cmd state.Command) (state.Result, error) {
+	leader := c.leader()
+	switch leader {
+	case consensus.None:
+		return state.Result{}, ErrNoLeader
+	case c.id:
+		return c.proposeHere(ctx, cmd)
+	}
+	var res state.Result
+	err := c.peers.call(ctx, leader, wire.MethodPropose, wire.ProposeParams{Command: cmd}, &res)
+	if rpc.Refused(err) && isNotLeader(err) {
+		return res, consensus.ErrNotLeader
+	}
+	if err != nil && !rpc.Refused(err) && ctx.Err() == nil {
+		// The connection broke: the command may have been proposed.
+		return res, oops.Wrap(errors.Join(ErrLost, err))
+	}
+	return res, err
+}
+
+func isNotLeader(err error) bool {
+	return err != nil && (contains(err.Error(), consensus.ErrNotLeader.Error()) || contains(err.Error(), consensus.ErrTransferring.Error()))
+}
+
+// proposeHere decides a command on this host, which must lead.
+func (c *Control) proposeHere(ctx context.Context, cmd state.Command) (state.Result, error) {
+	ch := make(chan proposalResult, 1)
+	if !c.loop.post(func() { c.loop.propose(cmd, ch) }) {
+		return state.Result{}, ErrStopped
+	}
+	select {
+	case r := <-ch:
+		return r.res, r.err
+	case <-ctx.Done():
+		return state.Result{}, ErrLost
+	case <-c.loop.done:
+		return state.Result{}, ErrStopped
+	}
+}
+
+// Ready reports whether this host follows a leader or leads, and holds what was
+// committed.
+func (c *Control) Ready(ctx context.Context) error {
+	_, err := c.loop.barrier(ctx)
+	return err
+}
+
+const handOverWait = 2 * time.Second
+
+// Stop hands leadership over, if this host has it, and stops.
+func (c *Control) Stop() {
+	c.handOver()
+	c.Kill()
+}
+
+// handOver gives leadership to another voter and waits until it has it, so that
+// a planned stop leaves no gap.
+func (c *Control) handOver() {
+	deadline := time.Now().Add(handOverWait)
+	for time.Now().Before(deadline) {
+		led := false
+		err := c.loop.with(func() {
+			led = c.loop.node.IsLeader()
+			to := c.loop.node.TransferTarget()
+			if !led || to == consensus.None {
+				led = false
+				return
+			}
+			_ = c.loop.node.Transfer(to)
+		})
+		if err != nil || !led {
+			return
+		}
+		time.Sleep(tickEvery)
+	}
+}
+
+// Kill stops at once, as a crash would.
+func (c *Control) Kill() {
+	select {
+	case <-c.loop.stopped:
+		return
+	default:
+	}
+	c.cancel()
+	close(c.loop.stopped)
+	<-c.loop.done
+	c.srv.Close()
+	c.peers.close()
+	_ = c.disk.Close()
+	c.cfg.Log.Info().Msg("control_stopped")
+}
+
+func decode[T any](raw json.RawMessage) (T, error) {
+	var v T
+	if len(raw) == 0 {
+		return v, nil
+	}
+	err := json.Unmarshal(raw, &v)
+	return v, err
+}
--- /dev/null
+++ b/internal/app/control/http.go
@@ -0,0 +1,278 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/record"
+	"github.com/cassiapass/cassiapass/internal/core/state"
+	"github.com/cassiapass/cassiapass/internal/wire"
+)
+
+const operatorTimeout = 10 * time.Second
+
+// Change is an operator's submission, revision or withdrawal.
+type Change struct {
+	Request string          `json:"request"`
+	Base    ident.Index     `json:"base"`
+	Record  json.RawMessage `json:"record,omitempty"`
+	Reason  string          `json:"reason,omitempty"`
+}
+
+// Explanation tells why a target is, or is not, loaded.
+type Explanation struct {
+	Target   string             `json:"target"`
+	Stated   *state.Statement   `json:"stated,omitempty"`
+	Replicas []state.Replica    `json:"replicas"`
+	Estimate *wire.EstimateIn   `json:"estimate,omitempty"`
+	Events   []state.AuditEvent `json:"events"`
+}
+
+// Failure is the body of every error answer.
+type Failure struct {
+	Code    string        `json:"code"`
+	Message string        `json:"message"`
+	Present *state.Record `json:"present,omitempty"`
+}
+
+// API returns the operators' HTTP interface. token authenticates operators; an
+// empty one lets everybody in and must be asked for by a flag that says so.
+func (c *Control) API(token string) *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	c.operatorRoutes(e.Group("/v1", authorize(token)))
+	e.GET("/healthz", func(x echo.Context) error { return x.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", c.httpReady)
+	e.GET("/metrics", func(x echo.Context) error {
+		c.met.set.WritePrometheus(x.Response())
+		return nil
+	})
+	e.GET("/debug/state", func(x echo.Context) error { return x.JSON(http.StatusOK, c.ControlStatus()) }, authorize(token))
+	return e
+}
+
+func (c *Control) operatorRoutes(g *echo.Group) {
+	g.GET("/records", c.httpList)
+	g.POST("/records", c.httpSubmit)
+	g.GET("/records/:name", c.httpGet)
+	g.POST("/records/:name/withdraw", c.httpWithdraw)
+	g.GET("/audit", c.httpAudit)
+	g.GET("/explain/:target", c.httpExplain)
+	g.GET("/status", func(x echo.Context) error { return x.JSON(http.StatusOK, c.ControlStatus()) })
+	g.POST("/members", c.httpMember)
+}
+
+// authorize compares the operator's token in constant time.
+func authorize(token string) echo.MiddlewareFunc {
+	want := sha256.Sum256([]byte(token))
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(x echo.Context) error {
+			got := sha256.Sum256([]byte(strings.TrimPrefix(x.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")))
+			if token != "" && subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+				return x.JSON(http.StatusUnauthorized, Failure{Code: "unauthorized", Message: "the operator token is missing or wrong"})
+			}
+			return next(x)
+		}
+	}
+}
+
+func (c *Control) httpReady(x echo.Context) error {
+	ctx, cancel := context.WithTimeout(x.Request().Context(), time.Second)
+	defer cancel()
+	if err := c.Ready(ctx); err != nil {
+		return x.String(http.StatusServiceUnavailable, err.Error()+"\n")
+	}
+	return x.String(http.StatusOK, "ready\n")
+}
+
+// current runs f on a state that holds everything committed before the request.
+func (c *Control) current(x echo.Context, f func(*state.State)) error {
+	ctx, cancel := context.WithTimeout(x.Request().Context(), operatorTimeout)
+	defer cancel()
+	if _, err := c.loop.barrier(ctx); err != nil {
+		return unavailable(x, err)
+	}
+	if err := c.loop.with(func() { f(c.loop.st) }); err != nil {
+		return unavailable(x, err)
+	}
+	return nil
+}
+
+func unavailable(x echo.Context, err error) error {
+	code := "unavailable"
+	if errors.Is(err, ErrLost) {
+		code = "unknown" // it may have been carried out; resend with the same request id
+	}
+	_ = x.JSON(http.StatusServiceUnavailable, Failure{Code: code, Message: err.Error()})
+	return err
+}
+
+func (c *Control) httpList(x echo.Context) error {
+	var out []state.Record
+	if err := c.current(x, func(s *state.State) { out = s.Records() }); err != nil {
+		return nil
+	}
+	if x.QueryParam("all") == "" {
+		out = slices.DeleteFunc(out, func(r state.Record) bool { return r.Withdrawn })
+	}
+	return x.JSON(http.StatusOK, out)
+}
+
+func (c *Control) httpGet(x echo.Context) error {
+	var rec state.Record
+	var ok bool
+	if err := c.current(x, func(s *state.State) { rec, ok = s.Record(x.Param("name")) }); err != nil {
+		return nil
+	}
+	if !ok {
+		return x.JSON(http.StatusNotFound, Failure{Code: string(state.NotFound), Message: "no such record"})
+	}
+	return x.JSON(http.StatusOK, rec)
+}
+
+// readChange reads an operator's request body.
+func readChange(x echo.Context) (Change, error) {
+	var ch Change
+	body, err := io.ReadAll(io.LimitReader(x.Request().Body, record.MaxBytes+1<<16))
+	if err != nil {
+		return ch, err
+	}
+	if err := json.Unmarshal(body, &ch); err != nil {
+		return ch, err
+	}
+	return ch, nil
+}
+
+func operator(x echo.Context) string {
+	if by := x.Request().Header.Get("Cassiapass-Operator"); by != "" {
+		return by
+	}
+	return "operator@" + x.RealIP()
+}
+
+func (c *Control) httpSubmit(x echo.Context) error {
+	ch, err := readChange(x)
+	if err != nil {
+		return x.JSON(http.StatusBadRequest, Failure{Code: string(state.Invalid), Message: err.Error()})
+	}
+	// Checked before it costs a place in the log; the state machine checks
+	// again, because only there is the answer the same everywhere.
+	if _, err := record.Parse(ch.Record); err != nil {
+		return x.JSON(http.StatusUnprocessableEntity, Failure{Code: string(state.Invalid), Message: err.Error()})
+	}
+	cmd := state.Command{By: operator(x), Submit: &state.Submit{Request: ch.Request, Base: ch.Base, Raw: ch.Record, Reason: ch.Reason}}
+	return c.decide(x, cmd)
+}
+
+func (c *Control) httpWithdraw(x echo.Context) error {
+	ch, err := readChange(x)
+	if err != nil {
+		return x.JSON(http.StatusBadRequest, Failure{Code: string(state.Invalid), Message: err.Error()})
+	}
+	cmd := state.Command{By: operator(x), Withdraw: &state.Withdraw{Request: ch.Request, Name: x.Param("name"), Base: ch.Base, Reason: ch.Reason}}
+	return c.decide(x, cmd)
+}
+
+func (c *Control) decide(x echo.Context, cmd state.Command) error {
+	ctx, cancel := context.WithTimeout(x.Request().Context(), operatorTimeout)
+	defer cancel()
+	res, err := c.Propose(ctx, cmd)
+	if err != nil {
+		_ = unavailable(x, err)
+		return nil
+	}
+	if res.Code == state.OK {
+		return x.JSON(http.StatusOK, res)
+	}
+	status := map[state.Code]int{state.Conflict: http.StatusConflict, state.NotFound: http.StatusNotFound}[res.Code]
+	if status == 0 {
+		status = http.StatusUnprocessableEntity
+	}
+	return x.JSON(status, Failure{Code: string(res.Code), Message: res.Message, Present: res.Present})
+}
+
+// httpAudit lists audit events, filtered by subject, target, host or action.
+func (c *Control) httpAudit(x echo.Context) error {
+	var all []state.AuditEvent
+	if err := c.current(x, func(s *state.State) { all = slices.Clone(s.Audit()) }); err != nil {
+		return nil
+	}
+	limit, err := strconv.Atoi(x.QueryParam("limit"))
+	if err != nil || limit <= 0 {
+		limit = 200
+	}
+	out := []state.AuditEvent{}
+	for _, e := range slices.Backward(all) {
+		if len(out) < limit && matches(x, e) {
+			out = append(out, e)
+		}
+	}
+	slices.Reverse(out)
+	return x.JSON(http.StatusOK, out)
+}
+
+func matches(x echo.Context, e state.AuditEvent) bool {
+	is := func(name, v string) bool {
+		want := x.QueryParam(name)
+		return want == "" || want == v
+	}
+	return is("subject", e.Subject) && is("target", e.Target) && is("host", string(e.Host)) && is("action", string(e.Action)) && is("by", e.By)
+}
+
+func (c *Control) httpExplain(x echo.Context) error {
+	t, err := ident.ParseTarget(x.Param("target"))
+	if err != nil {
+		return x.JSON(http.StatusBadRequest, Failure{Code: string(state.Invalid), Message: err.Error()})
+	}
+	ex := Explanation{Target: t.String(), Replicas: []state.Replica{}, Events: []state.AuditEvent{}}
+	err = c.current(x, func(s *state.State) {
+		if said, ok := s.Stated(t); ok {
+			ex.Stated = &said
+		}
+		ex.Replicas = append(ex.Replicas, s.ReplicasOf(t)...)
+		for _, e := range s.Audit() {
+			if e.Target == t.String() {
+				ex.Events = append(ex.Events, e)
+			}
+		}
+		if d := c.loop.duties; d.leading != 0 {
+			est := d.estimate(time.Now(), t)
+			ex.Estimate = &est
+		}
+	})
+	if err != nil {
+		return nil
+	}
+	return x.JSON(http.StatusOK, ex)
+}
+
+func (c *Control) httpMember(x echo.Context) error {
+	var p wire.MemberParams
+	if err := json.NewDecoder(io.LimitReader(x.Request().Body, 1<<16)).Decode(&p); err != nil {
+		return x.JSON(http.StatusBadRequest, Failure{Code: string(state.Invalid), Message: err.Error()})
+	}
+	ctx, cancel := context.WithTimeout(x.Request().Context(), operatorTimeout)
+	defer cancel()
+	res, err := c.ChangeMember(ctx, p)
+	if err != nil {
+		_ = unavailable(x, err)
+		return nil
+	}
+	c.cfg.Log.Info().Str("by", operator(x)).Uint64("member", uint64(p.Member.ID)).Bool("voter", p.Member.Voter).Bool("remove", p.Remove).Bool("done", res.Done).Str("reason", res.Reason).Msg("membership_change")
+	if !res.Done {
+		return x.JSON(http.StatusConflict, Failure{Code: "refused", Message: res.Reason})
+	}
+	return x.JSON(http.StatusOK, res)
+}
--- /dev/null
+++ b/internal/app/control/loop.go
@@ -0,0 +1,426 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+
+	"github.com/cassiapass/cassiapass/internal/core/consensus"
+	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/state"
+	"github.com/cassiapass/cassiapass/internal/port"
+)
+
+const (
+	tickEvery     = 50 * time.Millisecond
+	electionTicks = 8 // 400 to 800 ms of silence before a follower campaigns
+	voterBeat     = 2 // ticks between heartbeats to voters
+	observerBeat  = 10
+	taskQueue     = 8192
+	taskBatch     = 1024 // proposals gathered for one sync
+	snapshotEvery = 10000
+)
+
+// Outcomes of proposals that did not reach the log or whose fate is open.
+var (
+	ErrNoLeader = errors.New("no leader is known; the control group may have lost its quorum")
+	ErrLost     = errors.New("the leader changed before the command was decided; it may or may not be carried out")
+	ErrStopped  = errors.New("this control host is stopping")
+)
+
+// loop owns consensus, state and planner.
+type loop struct {
+	log    zerolog.Logger
+	node   *consensus.Node
+	st     *state.State
+	disk   port.Disk
+	send   func([]consensus.Message)
+	hub    *hub
+	duties *duties
+	met    *metrics
+	fatal  func(error)
+	group  ident.Group
+
+	leader  atomic.Uint64 // leader known to node, for readers outside the loop
+	tasks   chan func()
+	stopped chan struct{}
+	done    chan struct{}
+
+	waiters    map[uint64]waiter
+	reads      map[uint64]chan<- uint64
+	nextRead   uint64
+	applyWaits []applyWait
+	sinceSnap  int
+	snapping   bool
+}
+
+type waiter struct {
+	term uint64
+	ch   chan<- proposalResult
+}
+
+type proposalResult struct {
+	res state.Result
+	err error
+}
+
+// applyWait is released when the state has reached index.
+type applyWait struct {
+	index uint64
+	ch    chan<- struct{}
+}
+
+// post hands f to the loop. It returns false when the loop has stopped.
+func (l *loop) post(f func()) bool {
+	select {
+	case l.tasks <- f:
+		return true
+	case <-l.stopped:
+		return false
+	}
+}
+
+// run is the loop itself.
+func (l *loop) run() {
+	defer close(l.done)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case f := <-l.tasks:
+			f()
+			l.gather()
+		case <-tick.C:
+			l.node.Tick()
+			l.duties.tick(time.Now(), l)
+		case <-l.stopped:
+			return
+		}
+		l.node.Flush()
+		if !l.drain() {
+			return
+		}
+	}
+}
+
+// gather runs the tasks that are waiting already, so that one sync serves all
+// their proposals.
+func (l *loop) gather() {
+	for range taskBatch {
+		select {
+		case f := <-l.tasks:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// drain carries out everything that the node has ready. It returns false after
+// a disk failure: nothing may be acknowledged any more.
+func (l *loop) drain() bool {
+	for {
+		rd := l.node.Ready()
+		if rd.Empty() {
+			l.leader.Store(uint64(l.node.Leader()))
+			return true
+		}
+		if err := l.carryOut(rd); err != nil {
+			l.fatal(err)
+			return false
+		}
+		l.node.Advance(rd)
+		l.releaseApplied()
+	}
+}
+
+// carryOut keeps the order that consensus relies on: early messages, sync,
+// other messages, apply.
+func (l *loop) carryOut(rd consensus.Ready) error {
+	l.send(rd.Early)
+	if rd.Snapshot != nil {
+		if err := l.install(*rd.Snapshot); err != nil {
+			return err
+		}
+	}
+	if len(rd.Entries) > 0 || rd.HardState != nil {
+		begin := time.Now()
+		if err := l.disk.Save(rd.Entries, rd.HardState); err != nil {
+			return err
+		}
+		l.met.syncSeconds.UpdateDuration(begin)
+		l.met.syncs.Inc()
+	}
+	l.send(rd.Messages)
+	for _, r := range rd.Reads {
+		if ch, ok := l.reads[r.Context]; ok {
+			delete(l.reads, r.Context)
+			ch <- r.Index
+		}
+	}
+	return l.apply(rd.Committed)
+}
+
+// install takes over a snapshot from the leader.
+func (l *loop) install(s consensus.Snapshot) error {
+	st, err := state.Decode(s.Data)
+	if err != nil {
+		return err
+	}
+	if err := l.disk.SaveSnapshot(s); err != nil {
+		return err
+	}
+	l.st = st
+	l.sinceSnap = 0
+	for i, w := range l.waiters {
+		if i <= s.Index {
+			delete(l.waiters, i)
+			w.ch <- proposalResult{err: ErrLost}
+		}
+	}
+	l.hub.reset(ident.Index(s.Index))
+	l.log.Info().Uint64("index", s.Index).Msg("snapshot_installed")
+	return nil
+}
+
+func (l *loop) apply(entries []consensus.Entry) error {
+	var changes []state.Change
+	for _, e := range entries {
+		cs, err := l.applyOne(e)
+		if err != nil {
+			return err
+		}
+		changes = append(changes, cs...)
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	l.sinceSnap += len(entries)
+	last := ident.Index(entries[len(entries)-1].Index)
+	l.hub.publish(last, l.st.Config(), changes)
+	if l.sinceSnap >= snapshotEvery && !l.snapping {
+		l.snapshot(uint64(last))
+	}
+	return nil
+}
+
+func (l *loop) applyOne(e consensus.Entry) ([]state.Change, error) {
+	if e.Kind != consensus.EntryCommand {
+		l.st.Skip(ident.Index(e.Index))
+		l.answer(e, state.Result{Code: state.OK})
+		return nil, nil
+	}
+	var c state.Command
+	if err := json.Unmarshal(e.Data, &c); err != nil {
+		return nil, oops.With("index", e.Index).Wrapf(err, "decode command at index %d", e.Index)
+	}
+	res, changes := l.st.Apply(ident.Index(e.Index), c)
+	l.met.applied.Inc()
+	l.audit(c, res)
+	l.duties.applied(c, res)
+	l.answer(e, res)
+	return changes, nil
+}
+
+// audit writes changes that people ask about to the log as well; the state
+// keeps only the newest ones.
+func (l *loop) audit(c state.Command, res state.Result) {
+	ev := l.log.Info().Str("by", c.By).Uint64("index", uint64(res.Index)).Str("code", string(res.Code))
+	switch {
+	case c.Submit != nil:
+		ev.Str("request", c.Submit.Request).Uint64("base", uint64(c.Submit.Base)).Msg("record_submitted")
+	case c.Withdraw != nil:
+		ev.Str("request", c.Withdraw.Request).Str("record", c.Withdraw.Name).Msg("record_withdrawn")
+	case c.Grant != nil:
+		ev.Stringer("target", c.Grant.Target).Str("endpoint", string(c.Grant.Host)).Str("reason", c.Grant.Reason).Str("message", res.Message).Msg("replica_granted")
+	case c.Replica != nil:
+		ev.Uint64("replica", uint64(c.Replica.ID)).Str("phase", string(c.Replica.Phase)).Bool("gone", c.Replica.Gone).Str("reason", c.Replica.Reason).Msg("replica_changed")
+	case c.Endpoint != nil:
+		e := c.Endpoint.Endpoint
+		ev.Str("endpoint", string(e.Host)).Uint64("incarnation", uint64(e.Incarnation)).Bool("up", e.Up).Bool("leaving", e.Leaving).Str("reason", c.Endpoint.Reason).Msg("endpoint_changed")
+	case c.Forget != nil:
+		ev.Str("endpoint", string(c.Forget.Host)).Str("reason", c.Forget.Reason).Msg("endpoint_forgotten")
+	default:
+		ev.Discard()
+	}
+}
+
+func (l *loop) answer(e consensus.Entry, res state.Result) {
+	w, ok := l.waiters[e.Index]
+	if !ok {
+		return
+	}
+	delete(l.waiters, e.Index)
+	if w.term != e.Term {
+		// Another leader's entry took the place of the proposed one.
+		w.ch <- proposalResult{err: ErrLost}
+		return
+	}
+	w.ch <- proposalResult{res: res}
+}
+
+// snapshot encodes a copy of the state in the background and then compacts.
+func (l *loop) snapshot(index uint64) {
+	l.snapping = true
+	l.sinceSnap = 0
+	copied := l.st.Clone()
+	members := l.node.Status().Membership
+	go func() {
+		begin := time.Now()
+		data, err := copied.Encode()
+		l.post(func() { l.compact(index, members, data, err, begin) })
+	}()
+}
+
+func (l *loop) compact(index uint64, members consensus.Membership, data []byte, err error, begin time.Time) {
+	l.snapping = false
+	if err != nil {
+		l.fatal(oops.Wrapf(err, "encode state"))
+		return
+	}
+	s, ok := l.node.Compact(index, members, data)
+	if !ok {
+		return
+	}
+	if err := l.disk.SaveSnapshot(s); err != nil {
+		l.fatal(err)
+		return
+	}
+	l.log.Info().Uint64("index", index).Int("bytes", len(data)).Dur("took", time.Since(begin)).Msg("snapshot_saved")
+}
+
+func (l *loop) releaseApplied() {
+	kept := l.applyWaits[:0]
+	for _, w := range l.applyWaits {
+		if uint64(l.st.Index()) >= w.index {
+			close(w.ch)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	l.applyWaits = kept
+}
+
+// propose appends a command if this host leads.
+func (l *loop) propose(c state.Command, ch chan<- proposalResult) {
+	c.Time = time.Now().UTC()
+	data, err := json.Marshal(c)
+	if err != nil {
+		ch <- proposalResult{err: oops.Wrapf(err, "encode command")}
+		return
+	}
+	index, err := l.node.Propose(data)
+	if err != nil {
+		ch <- proposalResult{err: err}
+		return
+	}
+	l.waiters[index] = waiter{term: l.node.Term(), ch: ch}
+}
+
+// proposeQuietly appends a command whose result only the planner looks at.
+func (l *loop) proposeQuietly(c state.Command) {
+	c.Time = time.Now().UTC()
+	c.By = "control"
+	data, err := json.Marshal(c)
+	if err != nil {
+		l.fatal(oops.Wrapf(err, "encode command"))
+		return
+	}
+	if _, err := l.node.Propose(data); err != nil {
+		l.log.Debug().Err(err).Msg("proposal_refused")
+	}
+}
+
+// readIndex returns an index that a quorum confirmed to be the newest.
+func (l *loop) readIndex(ctx context.Context) (uint64, error) {
+	ch := make(chan uint64, 1)
+	for {
+		if !l.post(func() { l.startRead(ch) }) {
+			return 0, ErrStopped
+		}
+		retry := time.NewTimer(readRetry)
+		select {
+		case i := <-ch:
+			retry.Stop()
+			return i, nil
+		case <-retry.C:
+			// The round was lost or there is no leader; ask again.
+		case <-ctx.Done():
+			retry.Stop()
+			return 0, ErrNoLeader
+		}
+	}
+}
+
+const readRetry = 300 * time.Millisecond
+
+func (l *loop) startRead(ch chan<- uint64) {
+	l.nextRead++
+	if l.node.ReadIndex(l.nextRead) {
+		l.reads[l.nextRead] = ch
+		l.dropOldReads()
+	}
+}
+
+// dropOldReads forgets reads that were given up: contexts grow, so old ones
+// cannot be answered usefully any more.
+func (l *loop) dropOldReads() {
+	const most = 4096
+	if len(l.reads) <= most {
+		return
+	}
+	for c := range l.reads {
+		if c+most < l.nextRead {
+			delete(l.reads, c)
+		}
+	}
+}
+
+// waitApplied returns when the state has reached index.
+func (l *loop) waitApplied(ctx context.Context, index uint64) error {
+	ch := make(chan struct{})
+	posted := l.post(func() {
+		if uint64(l.st.Index()) >= index {
+			close(ch)
+			return
+		}
+		l.applyWaits = append(l.applyWaits, applyWait{index, ch})
+	})
+	if !posted {
+		return ErrStopped
+	}
+	select {
+	case <-ch:
+		return nil
+	case <-ctx.Done():
+		return oops.Wrapf(ctx.Err(), "this control host has not applied index %d", index)
+	}
+}
+
+// barrier returns when the state holds everything committed before the call.
+func (l *loop) barrier(ctx context.Context) (uint64, error) {
+	i, err := l.readIndex(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return i, l.waitApplied(ctx, i)
+}
+
+// with runs f in the loop and waits for it.
+func (l *loop) with(f func()) error {
+	done := make(chan struct{})
+	if !l.post(func() { f(); close(done) }) {
+		return ErrStopped
+	}
+	select {
+	case <-done:
+		return nil
+	case <-l.done:
+		return ErrStopped
+	}
+}
--- /dev/null
+++ b/internal/app/control/metrics.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
+	"github.com/cassiapass/cassiapass/internal/core/consensus"
+)
+
+// metrics are the measurements of one control host.
+type metrics struct {
+	set         *vm.Set
+	syncs       *vm.Counter
+	applied     *vm.Counter
+	syncSeconds *vm.Summary
+	planSeconds *vm.Summary
+}
+
+func newMetrics(count *rpc.Counter, status func() consensus.Status, subscribers func() int) *metrics {
+	s := vm.NewSet()
+	m := &metrics{
+		set:         s,
+		syncs:       s.NewCounter("cassiapass_control_log_syncs_total"),
+		applied:     s.NewCounter("cassiapass_control_commands_applied_total"),
+		syncSeconds: s.NewSummary("cassiapass_control_log_sync_seconds"),
+		planSeconds: s.NewSummary("cassiapass_control_plan_seconds"),
+	}
+	s.NewGauge("cassiapass_control_subscribers", func() float64 { return float64(subscribers()) })
+	s.NewGauge("cassiapass_control_is_leader", func() float64 {
+		if status().Role == consensus.Leader {
+			return 1
+		}
+		return 0
+	})
+	s.NewGauge("cassiapass_control_term", func() float64 { return float64(status().Term) })
+	s.NewGauge("cassiapass_control_commit_index", func() float64 { return float64(status().Commit) })
+	s.NewGauge("cassiapass_control_applied_index", func() float64 { return float64(status().Applied) })
+	s.NewGauge("cassiapass_rpc_received_bytes_total", func() float64 { return float64(count.In.Load()) })
+	s.NewGauge("cassiapass_rpc_sent_bytes_total", func() float64 { return float64(count.Out.Load()) })
+	return m
+}
--- /dev/null
+++ b/internal/app/control/peers.go
@@ -0,0 +1,202 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
+	"github.com/cassiapass/cassiapass/internal/core/consensus"
+	"github.com/cassiapass/cassiapass/internal/wire"
+)
+
+const (
+	peerQueue   = 1024 // messages waiting for one peer; more are dropped and sent anew by consensus
+	redialPause = 100 * time.Millisecond
+	peerSilence = 2 * time.Second // an idle-looking connection to a peer is closed and dialled anew
+)
+
+// peers holds one outgoing connection per other control host.
+type peers struct {
+	sec   rpc.Security
+	count *rpc.Counter
+	self  consensus.NodeID
+
+	mu    sync.Mutex
+	peers map[consensus.NodeID]*peer
+}
+
+// peer is one other control host.
+type peer struct {
+	addr  string
+	queue chan consensus.Message
+	stop  chan struct{}
+
+	mu   sync.Mutex
+	conn *rpc.Conn
+}
+
+func newPeers(self consensus.NodeID, sec rpc.Security, count *rpc.Counter) *peers {
+	return &peers{sec: sec, count: count, self: self, peers: map[consensus.NodeID]*peer{}}
+}
+
+// update makes the connections match the membership.
+func (p *peers) update(m consensus.Membership) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, pr := range p.peers {
+		mem, ok := m.Find(id)
+		if !ok || mem.Addr != pr.addr {
+			close(pr.stop)
+			delete(p.peers, id)
+		}
+	}
+	for _, mem := range m.Members {
+		if _, ok := p.peers[mem.ID]; ok || mem.ID == p.self {
+			continue
+		}
+		pr := &peer{addr: mem.Addr, queue: make(chan consensus.Message, peerQueue), stop: make(chan struct{})}
+		p.peers[mem.ID] = pr
+		go p.pump(pr)
+	}
+}
+
+// send queues messages. A full queue drops: consensus repeats what matters.
+func (p *peers) send(msgs []consensus.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range msgs {
+		pr, ok := p.peers[m.To]
+		if !ok {
+			continue
+		}
+		select {
+		case pr.queue <- m:
+		default:
+		}
+	}
+}
+
+func (p *peers) close() {
+	p.update(consensus.Membership{})
+}
+
+// pump writes the queue of one peer to its connection, several messages at a
+// time when they have gathered.
+func (p *peers) pump(pr *peer) {
+	defer pr.drop()
+	for {
+		select {
+		case <-pr.stop:
+			return
+		case m := <-pr.queue:
+			batch := pr.gather(m)
+			conn, err := p.connect(pr)
+			if err != nil {
+				pr.pause()
+				continue
+			}
+			if err := conn.Notify(wire.MethodRaft, batch); err != nil {
+				pr.drop()
+			}
+		}
+	}
+}
+
+const peerBatch = 64
+
+func (pr *peer) gather(first consensus.Message) []consensus.Message {
+	batch := []consensus.Message{first}
+	for len(batch) < peerBatch {
+		select {
+		case m := <-pr.queue:
+			batch = append(batch, m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (pr *peer) pause() {
+	select {
+	case <-pr.stop:
+	case <-time.After(redialPause):
+	}
+}
+
+// connect returns the open connection or dials. A peer never sends anything on
+// this connection by itself, so silence is found by probing: something between
+// the two ends may have lost track of a connection that looks open.
+func (p *peers) connect(pr *peer) (*rpc.Conn, error) {
+	pr.mu.Lock()
+	conn := pr.conn
+	pr.mu.Unlock()
+	if conn != nil {
+		select {
+		case <-conn.Closed():
+		default:
+			return conn, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	conn, err := rpc.Dial(ctx, pr.addr, p.sec, p.count, refuseAll)
+	if err != nil {
+		return nil, err
+	}
+	pr.mu.Lock()
+	pr.conn = conn
+	pr.mu.Unlock()
+	go probe(conn)
+	return conn, nil
+}
+
+// probe closes a connection that does not answer.
+func probe(conn *rpc.Conn) {
+	t := time.NewTicker(peerSilence / 2)
+	defer t.Stop()
+	for {
+		select {
+		case <-conn.Closed():
+			return
+		case <-t.C:
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), peerSilence/2)
+		err := conn.Call(ctx, wire.MethodPing, nil, nil)
+		cancel()
+		if err != nil {
+			conn.Close()
+			return
+		}
+	}
+}
+
+func (pr *peer) drop() {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if pr.conn != nil {
+		pr.conn.Close()
+		pr.conn = nil
+	}
+}
+
+// call sends a call to another control host.
+func (p *peers) call(ctx context.Context, to consensus.NodeID, method string, params, result any) error {
+	p.mu.Lock()
+	pr, ok := p.peers[to]
+	p.mu.Unlock()
+	if !ok {
+		return ErrNoLeader
+	}
+	conn, err := p.connect(pr)
+	if err != nil {
+		return err
+	}
+	return conn.Call(ctx, method, params, result)
+}
+
+func refuseAll(context.Context, *rpc.Conn, string, json.RawMessage) (any, error) {
+	return nil, nil
+}
--- /dev/null
+++ b/internal/core/consensus/node.go
@@ -0,0 +1,440 @@
+package consensus
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+const (
+	entryOverhead  = 16      // bytes counted per entry beside its data
+	maxAppendBytes = 1 << 20 // bytes of entries in one append
+	maxInflight    = 64      // appends under way to one member
+	maxUncommitted = 16384   // proposals that may wait for the quorum
+	resendTicks    = 20      // ticks after which an unanswered append is sent anew
+)
+
+// Config is what a Node is made from.
+type Config struct {
+	ID             NodeID
+	ElectionTicks  int             // a follower campaigns after this many to twice as many silent ticks
+	HeartbeatTicks int             // ticks between heartbeats to voters
+	ObserverTicks  int             // ticks between heartbeats to non-voting members
+	Rand           func(n int) int // uniform in [0,n); handed in so that runs repeat
+	HardState      HardState       // as read from disk
+	Snapshot       Snapshot        // as read from disk; the zero Snapshot is an empty log
+	Entries        []Entry         // as read from disk, following Snapshot
+}
+
+// Node is one member's state machine. It is not safe for concurrent use.
+type Node struct {
+	cfg  Config
+	id   NodeID
+	role Role
+	term uint64
+	vote NodeID
+	lead NodeID
+
+	log        raftLog
+	membership Membership
+	lastChange uint64 // index of the newest membership entry applied or appended
+	lastAdded  NodeID // member that the newest change added or promoted
+
+	elapsed   int // ticks since the last sign of a leader, or of the last quorum check
+	heartbeat int
+	timeout   int // randomised election timeout
+	ballots   map[NodeID]bool
+	progress  map[NodeID]*progress
+	transfer  NodeID
+
+	reads []pendingRead
+	round uint64
+
+	savedHard HardState
+	unstable  uint64 // first index not yet handed out to be synced
+	early     []Message
+	out       []Message
+	readDone  []ReadState
+	received  *Snapshot
+}
+
+// New returns a Node in the follower role, restored from cfg.
+func New(cfg Config) *Node {
+	n := &Node{cfg: cfg, id: cfg.ID, term: cfg.HardState.Term, vote: cfg.HardState.Vote}
+	n.savedHard = cfg.HardState
+	n.log.snap = cfg.Snapshot
+	n.log.entries = cfg.Entries
+	n.log.commit = max(cfg.HardState.Commit, cfg.Snapshot.Index)
+	// Commit may be older than what was applied before the crash but never
+	// newer than the log on disk, because both are written in one batch.
+	invariant(n.log.commit <= n.log.lastIndex(), "commit beyond log", n.log.commit, n.log.lastIndex())
+	n.log.applied = cfg.Snapshot.Index
+	n.log.synced = n.log.lastIndex()
+	n.unstable = n.log.lastIndex() + 1
+	n.membership = cfg.Snapshot.Membership
+	n.resetTimeout()
+	return n
+}
+
+// Bootstrap returns the Snapshot that starts a new group with these members.
+func Bootstrap(m Membership) Snapshot {
+	return Snapshot{Index: 1, Term: 1, Membership: m}
+}
+
+// Status is a Node's view of itself and of the group.
+type Status struct {
+	ID         NodeID
+	Role       Role
+	Term       uint64
+	Leader     NodeID
+	Commit     uint64
+	Applied    uint64
+	LastIndex  uint64
+	Membership Membership
+	Match      map[NodeID]uint64 // leader only
+}
+
+// Status returns a copy of the present state.
+func (n *Node) Status() Status {
+	s := Status{
+		ID: n.id, Role: n.role, Term: n.term, Leader: n.lead,
+		Commit: n.log.commit, Applied: n.log.applied, LastIndex: n.log.lastIndex(),
+		Membership: n.membership,
+	}
+	if n.role == Leader {
+		s.Match = make(map[NodeID]uint64, len(n.progress))
+		for id, p := range n.progress {
+			s.Match[id] = p.match
+		}
+	}
+	return s
+}
+
+// Leader returns the leader known to this member, or None.
+func (n *Node) Leader() NodeID { return n.lead }
+
+// IsLeader reports whether this member leads its term.
+func (n *Node) IsLeader() bool { return n.role == Leader }
+
+// Term returns the present term.
+func (n *Node) Term() uint64 { return n.term }
+
+// LeadsSettled reports whether this member leads and has applied everything
+// that was committed before its term began, so that its state is current.
+func (n *Node) LeadsSettled() bool {
+	t, ok := n.log.term(n.log.applied)
+	return n.role == Leader && ok && t == n.term
+}
+
+// Applied returns the index of the last entry handed out to be applied and
+// confirmed by Advance.
+func (n *Node) Applied() uint64 { return n.log.applied }
+
+// Ready takes out the work that has come up since the last call.
+func (n *Node) Ready() Ready {
+	var rd Ready
+	hs := HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit}
+	// The commit index alone is not worth a sync: it is learned again from
+	// the leader. It travels along when something else is synced.
+	if hs.Term != n.savedHard.Term || hs.Vote != n.savedHard.Vote || n.unstable <= n.log.lastIndex() {
+		rd.HardState = &hs
+		n.savedHard = hs
+	}
+	if n.received != nil {
+		rd.Snapshot, n.received = n.received, nil
+	}
+	if last := n.log.lastIndex(); n.unstable <= last {
+		rd.Entries = n.log.entries[n.unstable-n.log.snap.Index-1:]
+		n.unstable = last + 1
+	}
+	rd.Early, n.early = n.early, nil
+	rd.Messages, n.out = n.out, nil
+	rd.Reads, n.readDone = n.readDone, nil
+	// Only synced entries are applied here: a member never acts on what it
+	// could lose in a crash, even when the quorum holds it.
+	if to := min(n.log.commit, max(n.log.synced, n.unstable-1)); to > n.log.applied {
+		rd.Committed = n.log.slice(n.log.applied+1, to, 4*maxAppendBytes)
+	}
+	return rd
+}
+
+// Advance confirms that rd was carried out: its entries are synced and its
+// committed entries applied.
+func (n *Node) Advance(rd Ready) {
+	if k := len(rd.Entries); k > 0 {
+		last := rd.Entries[k-1]
+		if t, ok := n.log.term(last.Index); ok && t == last.Term && last.Index > n.log.synced {
+			n.log.synced = last.Index
+		}
+	}
+	if k := len(rd.Committed); k > 0 {
+		n.log.applied = max(n.log.applied, rd.Committed[k-1].Index)
+		for _, e := range rd.Committed {
+			if e.Kind == EntryMembership {
+				n.applyMembership(e)
+			}
+		}
+	}
+	if n.role == Leader {
+		n.advanceCommit()
+	}
+}
+
+// Compact replaces the log up to index by a snapshot of the owner's state and
+// membership at that index, which must have been applied. The owner may have
+// encoded the state in the background while later entries were applied.
+func (n *Node) Compact(index uint64, m Membership, data []byte) (Snapshot, bool) {
+	invariant(index <= n.log.applied, "snapshot beyond applied", index, n.log.applied)
+	t, ok := n.log.term(index)
+	if !ok || index <= n.log.snap.Index {
+		return Snapshot{}, false // a newer snapshot arrived from the leader meanwhile
+	}
+	s := Snapshot{Index: index, Term: t, Membership: m, Data: data}
+	n.log.compact(s)
+	return s, true
+}
+
+// Tick moves time on by one unit.
+func (n *Node) Tick() {
+	n.elapsed++
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	if n.elapsed >= n.timeout {
+		n.elapsed = 0
+		n.resetTimeout()
+		n.campaign(PreCandidate, false)
+	}
+}
+
+func (n *Node) tickLeader() {
+	if n.elapsed >= n.cfg.ElectionTicks {
+		n.elapsed = 0
+		n.transfer = None // a hand-over that did not end in time is given up
+		// A leader cut off by a silent partition would go on answering for a
+		// group that has moved on; it notices the silence here by its own
+		// clock and steps down.
+		if !n.quorumActive() {
+			n.becomeFollower(n.term, None)
+			return
+		}
+	}
+	n.heartbeat++
+	for id, p := range n.progress {
+		if id == n.id {
+			continue
+		}
+		n.tickPeer(id, p)
+	}
+}
+
+func (n *Node) tickPeer(id NodeID, p *progress) {
+	every := n.cfg.HeartbeatTicks
+	if !p.voter {
+		every = n.cfg.ObserverTicks
+	}
+	if n.heartbeat%every == 0 {
+		n.sendHeartbeat(id, p, 0)
+	}
+	if p.inflight == 0 && p.snapshot == 0 {
+		return
+	}
+	p.waited++
+	if p.waited < resendTicks {
+		return
+	}
+	// An append or snapshot was lost: without this the member would stay
+	// paused for ever.
+	p.waited, p.inflight, p.snapshot = 0, 0, 0
+	p.next = p.match + 1
+	p.probing = true
+	n.sendAppend(id, p)
+}
+
+func (n *Node) resetTimeout() {
+	n.timeout = n.cfg.ElectionTicks + n.cfg.Rand(n.cfg.ElectionTicks)
+}
+
+// Propose appends a command and returns its index. The command is decided only
+// when it comes back in Ready.Committed with the same term.
+func (n *Node) Propose(data []byte) (index uint64, err error) {
+	if n.role != Leader {
+		return 0, ErrNotLeader
+	}
+	if n.transfer != None {
+		return 0, ErrTransferring
+	}
+	if n.log.lastIndex()-n.log.commit >= maxUncommitted {
+		return 0, ErrTooManyPending
+	}
+	return n.appendEntry(EntryCommand, data), nil
+}
+
+func (n *Node) appendEntry(kind EntryKind, data []byte) uint64 {
+	i := n.log.lastIndex() + 1
+	n.log.append(Entry{Term: n.term, Index: i, Kind: kind, Data: data})
+	return i
+}
+
+// Flush sends what was proposed since the last call. Calling it once per batch
+// gives group commit: one append per member and one sync for many proposals.
+func (n *Node) Flush() {
+	if n.role != Leader {
+		return
+	}
+	for id, p := range n.progress {
+		if id != n.id {
+			n.sendAppend(id, p)
+		}
+	}
+}
+
+// ProposeMembership appends a membership change: the addition or promotion of
+// mem, or with remove its removal.
+func (n *Node) ProposeMembership(mem Member, remove bool) (uint64, error) {
+	if n.role != Leader {
+		return 0, ErrNotLeader
+	}
+	// One change at a time keeps any two majorities, before and after,
+	// overlapping. The member changed last must also hold the log: otherwise
+	// two quick repairs could leave a quorum in which nobody has the data
+	// when a second host is lost right after the first repair.
+	if n.lastChange > n.log.applied {
+		return 0, ErrChangePending
+	}
+	if p, ok := n.progress[n.lastAdded]; ok && n.lastAdded != n.id && !remove && p.match < n.lastChange {
+		return 0, ErrMemberBehind
+	}
+	next, err := n.changed(mem, remove)
+	if err != nil {
+		return 0, err
+	}
+	data, err := json.Marshal(next)
+	invariant(err == nil, "membership cannot be encoded", 0, 0)
+	i := n.appendEntry(EntryMembership, data)
+	n.lastChange = i
+	return i, nil
+}
+
+func (n *Node) changed(mem Member, remove bool) (Membership, error) {
+	old, known := n.membership.Find(mem.ID)
+	if remove {
+		if !known {
+			return Membership{}, ErrMemberUnknown
+		}
+		if mem.ID == n.id {
+			return Membership{}, ErrRemoveLeader
+		}
+		if old.Voter && n.membership.Voters() == 1 {
+			return Membership{}, ErrLastVoter
+		}
+		return n.membership.Without(mem.ID), nil
+	}
+	if mem.Voter && (!known || !old.Voter) {
+		// A voter without the log would count towards quorums that it
+		// cannot yet serve, so members join non-voting and are promoted
+		// once they have caught up.
+		p, ok := n.progress[mem.ID]
+		if !ok || !p.active || p.match+promoteSlack < n.log.commit {
+			return Membership{}, ErrMemberBehind
+		}
+	}
+	return n.membership.With(mem), nil
+}
+
+const promoteSlack = 1000 // entries that a member may lag behind when promoted
+
+func (n *Node) applyMembership(e Entry) {
+	var m Membership
+	err := json.Unmarshal(e.Data, &m)
+	invariant(err == nil, "membership entry cannot be decoded", e.Index, 0)
+	for _, mem := range m.Members {
+		if old, ok := n.membership.Find(mem.ID); !ok || old.Voter != mem.Voter {
+			n.lastAdded = mem.ID
+		}
+	}
+	n.membership = m
+	n.lastChange = max(n.lastChange, e.Index)
+	if n.role == Leader {
+		n.syncProgress()
+	}
+}
+
+// syncProgress makes progress match the membership.
+func (n *Node) syncProgress() {
+	for id := range n.progress {
+		if _, ok := n.membership.Find(id); !ok {
+			delete(n.progress, id)
+		}
+	}
+	for _, m := range n.membership.Members {
+		p, ok := n.progress[m.ID]
+		if !ok {
+			p = &progress{next: n.log.lastIndex() + 1, probing: true, active: true}
+			n.progress[m.ID] = p
+			if m.ID != n.id {
+				n.sendAppend(m.ID, p)
+			}
+		}
+		p.voter = m.Voter
+	}
+	if self, ok := n.membership.Find(n.id); !ok || !self.Voter {
+		n.becomeFollower(n.term, None)
+	}
+}
+
+// Transfer asks a caught-up voter to take over at once; a planned stop uses it
+// so that the group is without a leader for one round trip only.
+func (n *Node) Transfer(to NodeID) error {
+	p, ok := n.progress[to]
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	if !ok || !p.voter || to == n.id {
+		return ErrMemberUnknown
+	}
+	n.transfer = to
+	n.elapsed = 0
+	if p.match == n.log.lastIndex() {
+		n.send(Message{Type: MsgTimeoutNow, To: to})
+		return nil
+	}
+	n.sendAppend(to, p)
+	return nil
+}
+
+// TransferTarget returns the voter with the longest log, or None.
+func (n *Node) TransferTarget() NodeID {
+	best, match := None, uint64(0)
+	for id, p := range n.progress {
+		if id == n.id || !p.voter {
+			continue
+		}
+		if best == None || p.match > match || (p.match == match && id < best) {
+			best, match = id, p.match
+		}
+	}
+	return best
+}
+
+func (n *Node) send(m Message) {
+	m.From = n.id
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	n.out = append(n.out, m)
+}
+
+// sendEarly queues a message that promises nothing about this member's disk.
+func (n *Node) sendEarly(m Message) {
+	m.From, m.Term = n.id, n.term
+	n.early = append(n.early, m)
+}
+
+// invariant stops the process: what it checks cannot be false unless the
+// program itself is wrong, and going on could lose decisions.
+func invariant(ok bool, what string, a, b uint64) {
+	if !ok {
+		panic(fmt.Sprintf("invariant: consensus: %s (%d, %d)", what, a, b))
+	}
+}
--- /dev/null
+++ b/internal/core/consensus/progress.go
@@ -0,0 +1,93 @@
+package consensus
+
+import "slices"
+
+// progress is what a leader knows about one other member's log.
+type progress struct {
+	voter    bool
+	match    uint64 // highest index known to be synced there
+	next     uint64 // next index to send
+	inflight int    // appends sent and not yet answered
+	probing  bool   // one append at a time until the first success
+	snapshot uint64 // index of a snapshot on its way, 0 if none
+	waited   int    // ticks since anything was sent while waiting
+	active   bool   // heard from since the last check of the quorum
+}
+
+// paused reports whether the leader must wait for an answer before sending
+// more. Without a bound a slow member would make the leader queue its whole
+// log in the transport.
+func (p *progress) paused() bool {
+	if p.snapshot != 0 {
+		return true
+	}
+	if p.probing {
+		return p.inflight >= 1
+	}
+	return p.inflight >= maxInflight
+}
+
+// accepted records an acknowledgement up to index.
+func (p *progress) accepted(index uint64) {
+	if p.inflight > 0 {
+		p.inflight--
+	}
+	p.waited = 0
+	if index > p.match {
+		p.match = index
+	}
+	if p.match >= p.next {
+		p.next = p.match + 1
+	}
+	if p.snapshot != 0 && p.match >= p.snapshot {
+		p.snapshot = 0
+	}
+	p.probing = false
+}
+
+// rejected moves next back after a refused append that ended at prev.
+func (p *progress) rejected(prev, hint uint64) {
+	p.inflight = 0
+	p.waited = 0
+	if prev <= p.match {
+		return // an old answer, delayed or duplicated
+	}
+	p.next = max(min(prev, hint+1), p.match+1)
+	p.probing = true
+}
+
+// quorumMatch returns the highest index that a majority of voters holds.
+func (n *Node) quorumMatch() uint64 {
+	var matches []uint64
+	for id, p := range n.progress {
+		if !p.voter {
+			continue
+		}
+		if id == n.id {
+			matches = append(matches, n.log.synced)
+			continue
+		}
+		matches = append(matches, p.match)
+	}
+	if len(matches) == 0 {
+		return 0
+	}
+	slices.Sort(matches)
+	return matches[(len(matches)-1)/2]
+}
+
+// quorumActive reports whether a majority of voters, this one included, was
+// heard from since the last call, and starts a new period.
+func (n *Node) quorumActive() bool {
+	active, voters := 0, 0
+	for id, p := range n.progress {
+		if p.voter {
+			voters++
+			if id == n.id || p.active {
+				active++
+			}
+		}
+		p.active = false
+	}
+	return active > voters/2
+}
--- /dev/null
+++ b/internal/core/consensus/step.go
@@ -0,0 +1,217 @@
+package consensus
+
+// Step feeds one received message to the Node.
+func (n *Node) Step(m Message) {
+	if m.To != n.id {
+		return
+	}
+	if m.Term > n.term && !n.stepNewerTerm(m) {
+		return
+	}
+	if m.Term < n.term {
+		n.stepOlderTerm(m)
+		return
+	}
+	switch m.Type {
+	case MsgPreVote, MsgVote:
+		n.stepVote(m)
+	case MsgPreVoteResp, MsgVoteResp:
+		n.stepBallot(m)
+	case MsgAppend:
+		n.heardLeader(m)
+		n.stepAppend(m)
+	case MsgHeartbeat:
+		n.heardLeader(m)
+		n.stepHeartbeat(m)
+	case MsgSnapshot:
+		n.heardLeader(m)
+		n.stepSnapshot(m)
+	case MsgAppendResp:
+		n.stepAppendResp(m)
+	case MsgHeartbeatResp:
+		n.stepHeartbeatResp(m)
+	case MsgReadIndex:
+		n.stepReadIndex(m)
+	case MsgReadIndexResp:
+		n.readDone = append(n.readDone, ReadState{Context: m.Context, Index: m.Index})
+	case MsgTimeoutNow:
+		n.stepTimeoutNow()
+	}
+}
+
+// stepNewerTerm moves to the message's term and reports whether the message
+// is to be handled further.
+func (n *Node) stepNewerTerm(m Message) bool {
+	if m.Type == MsgPreVote || m.Type == MsgVote {
+		// While a leader is heard from, a member that was merely cut off
+		// must not be able to depose it by coming back with a larger term.
+		if !m.Transfer && n.lead != None && n.elapsed < n.cfg.ElectionTicks {
+			return false
+		}
+	}
+	switch {
+	case m.Type == MsgPreVote:
+		// A pre-vote asks about a term that nobody has begun.
+	case m.Type == MsgPreVoteResp && !m.Reject:
+		// A granted pre-vote carries the term that was asked about.
+	case m.Type == MsgAppend || m.Type == MsgHeartbeat || m.Type == MsgSnapshot:
+		n.becomeFollower(m.Term, m.From)
+	default:
+		n.becomeFollower(m.Term, None)
+	}
+	return true
+}
+
+// stepOlderTerm answers a message from a past term where silence would leave
+// its sender stuck.
+func (n *Node) stepOlderTerm(m Message) {
+	switch m.Type {
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		// A deposed leader learns the new term from this answer.
+		n.send(Message{Type: MsgAppendResp, To: m.From, Reject: true, Index: 0, Hint: n.log.lastIndex()})
+	case MsgPreVote:
+		n.send(Message{Type: MsgPreVoteResp, To: m.From, Reject: true})
+	}
+}
+
+func (n *Node) heardLeader(m Message) {
+	invariant(n.role != Leader, "two leaders in one term", n.term, uint64(m.From))
+	if n.role != Follower {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.lead = m.From
+	n.elapsed = 0
+}
+
+func (n *Node) stepAppend(m Message) {
+	if m.Index < n.log.commit {
+		// A delayed duplicate: what it holds is already decided here.
+		n.send(Message{Type: MsgAppendResp, To: m.From, Index: n.log.commit})
+		return
+	}
+	if t, ok := n.log.term(m.Index); !ok || t != m.LogTerm {
+		n.send(Message{Type: MsgAppendResp, To: m.From, Reject: true, Index: m.Index, Hint: min(m.Index, n.log.lastIndex())})
+		return
+	}
+	if fresh := n.log.merge(m.Entries); len(fresh) > 0 {
+		n.unstable = min(n.unstable, fresh[0].Index)
+	}
+	last := m.Index + uint64(len(m.Entries))
+	n.setCommit(min(m.Commit, last))
+	n.send(Message{Type: MsgAppendResp, To: m.From, Index: last})
+}
+
+func (n *Node) stepHeartbeat(m Message) {
+	// m.Commit is capped by the leader to what this member is known to hold.
+	n.setCommit(min(m.Commit, n.log.lastIndex()))
+	n.send(Message{Type: MsgHeartbeatResp, To: m.From, Context: m.Context, Index: n.log.lastIndex()})
+}
+
+func (n *Node) stepSnapshot(m Message) {
+	s := *m.Snapshot
+	if s.Index <= n.log.commit {
+		n.send(Message{Type: MsgAppendResp, To: m.From, Index: n.log.commit})
+		return
+	}
+	n.log.restore(s)
+	n.unstable = s.Index + 1
+	n.membership = s.Membership
+	n.lastChange = s.Index
+	n.received = &s
+	n.send(Message{Type: MsgAppendResp, To: m.From, Index: s.Index})
+}
+
+func (n *Node) setCommit(i uint64) {
+	if i > n.log.commit {
+		n.log.commit = i
+	}
+}
+
+func (n *Node) stepAppendResp(m Message) {
+	p, ok := n.progress[m.From]
+	if n.role != Leader || !ok {
+		return
+	}
+	p.active = true
+	if m.Reject {
+		p.rejected(m.Index, m.Hint)
+		n.sendAppend(m.From, p)
+		return
+	}
+	invariant(m.Index <= n.log.lastIndex(), "acknowledgement beyond the log", m.Index, n.log.lastIndex())
+	p.accepted(m.Index)
+	n.advanceCommit()
+	if n.transfer == m.From && p.match == n.log.lastIndex() {
+		n.send(Message{Type: MsgTimeoutNow, To: m.From})
+	}
+	n.sendAppend(m.From, p)
+}
+
+func (n *Node) stepHeartbeatResp(m Message) {
+	p, ok := n.progress[m.From]
+	if n.role != Leader || !ok {
+		return
+	}
+	p.active = true
+	if m.Context != 0 {
+		n.ackRead(m.From, m.Context)
+	}
+	if p.match < n.log.lastIndex() && p.inflight == 0 {
+		n.sendAppend(m.From, p)
+	}
+}
+
+// sendAppend sends the next entries, or a snapshot if they are compacted.
+func (n *Node) sendAppend(to NodeID, p *progress) {
+	for !p.paused() {
+		prev := p.next - 1
+		prevTerm, ok := n.log.term(prev)
+		if !ok {
+			s := n.log.snap
+			p.snapshot, p.waited = s.Index, 0
+			p.next = s.Index + 1
+			n.sendEarly(Message{Type: MsgSnapshot, To: to, Snapshot: &s})
+			return
+		}
+		ents := n.log.slice(p.next, n.log.lastIndex(), maxAppendBytes)
+		if len(ents) == 0 && !p.probing {
+			return
+		}
+		n.sendEarly(Message{Type: MsgAppend, To: to, Index: prev, LogTerm: prevTerm, Entries: ents, Commit: n.log.commit})
+		p.inflight++
+		p.next += uint64(len(ents))
+		if p.probing {
+			return
+		}
+	}
+}
+
+func (n *Node) sendHeartbeat(to NodeID, p *progress, round uint64) {
+	commit := min(p.match, n.log.commit)
+	n.sendEarly(Message{Type: MsgHeartbeat, To: to, Commit: commit, Context: round})
+}
+
+// advanceCommit moves the commit index to what a majority holds. Only entries
+// of the present term are counted (Raft 5.4.2): an older entry held by a
+// majority can still be replaced by a leader that never saw it.
+func (n *Node) advanceCommit() {
+	q := n.quorumMatch()
+	t, ok := n.log.term(q)
+	if q <= n.log.commit || !ok || t != n.term {
+		return
+	}
+	n.log.commit = q
+	n.releaseReads()
+	// Members learn the new commit index now rather than at the next
+	// heartbeat: configuration in force waits for it.
+	for id, p := range n.progress {
+		if id == n.id {
+			continue
+		}
+		if p.next > n.log.lastIndex() {
+			n.sendEarly(Message{Type: MsgHeartbeat, To: id, Commit: min(p.match, q)})
+			continue
+		}
+		n.sendAppend(id, p)
+	}
+}
--- /dev/null
+++ b/internal/core/consensus/types.go
@@ -0,0 +1,193 @@
+package consensus
+
+import (
+	"errors"
+	"slices"
+)
+
+// NodeID names one member. It is drawn anew whenever a data folder is created,
+// so a host that lost its disk cannot come back under an identity whose votes
+// it has forgotten.
+type NodeID uint64
+
+// None is the absent NodeID.
+const None NodeID = 0
+
+// EntryKind tells what an Entry carries.
+type EntryKind uint8
+
+// The kinds of entries.
+const (
+	EntryCommand    EntryKind = iota // Data is a command of the owner.
+	EntryNoop                        // Appended by a new leader; Data is empty.
+	EntryMembership                  // Data is an encoded Membership.
+)
+
+// Entry is one position of the log.
+type Entry struct {
+	Term  uint64    `json:"t"`
+	Index uint64    `json:"i"`
+	Kind  EntryKind `json:"k,omitempty"`
+	Data  []byte    `json:"d,omitempty"`
+}
+
+// HardState is what a member must never forget.
+type HardState struct {
+	Term   uint64 `json:"term"`
+	Vote   NodeID `json:"vote"`
+	Commit uint64 `json:"commit"`
+}
+
+// Member is one member of the group.
+type Member struct {
+	ID    NodeID `json:"id"`
+	Addr  string `json:"addr"`
+	Voter bool   `json:"voter"`
+}
+
+// Membership is the whole list of members, ordered by ID.
+type Membership struct {
+	Members []Member `json:"members"`
+}
+
+// Find returns the member with the given id.
+func (m Membership) Find(id NodeID) (Member, bool) {
+	for _, mem := range m.Members {
+		if mem.ID == id {
+			return mem, true
+		}
+	}
+	return Member{}, false
+}
+
+// With returns a copy in which mem is added or replaced.
+func (m Membership) With(mem Member) Membership {
+	out := m.Without(mem.ID)
+	out.Members = append(out.Members, mem)
+	slices.SortFunc(out.Members, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Without returns a copy that lacks the member with the given id.
+func (m Membership) Without(id NodeID) Membership {
+	out := Membership{}
+	for _, mem := range m.Members {
+		if mem.ID != id {
+			out.Members = append(out.Members, mem)
+		}
+	}
+	return out
+}
+
+// Voters returns the number of voting members.
+func (m Membership) Voters() int {
+	n := 0
+	for _, mem := range m.Members {
+		if mem.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// Snapshot replaces the log up to and including Index.
+type Snapshot struct {
+	Index      uint64     `json:"index"`
+	Term       uint64     `json:"term"`
+	Membership Membership `json:"membership"`
+	Data       []byte     `json:"data"`
+}
+
+// MessageType tells what a Message asks or answers.
+type MessageType uint8
+
+// The message types.
+const (
+	MsgPreVote MessageType = iota + 1
+	MsgPreVoteResp
+	MsgVote
+	MsgVoteResp
+	MsgAppend
+	MsgAppendResp
+	MsgHeartbeat
+	MsgHeartbeatResp
+	MsgSnapshot
+	MsgReadIndex
+	MsgReadIndexResp
+	MsgTimeoutNow
+)
+
+// Message travels between members. Unused fields are zero.
+type Message struct {
+	Type     MessageType `json:"y"`
+	From     NodeID      `json:"f"`
+	To       NodeID      `json:"o"`
+	Term     uint64      `json:"t,omitempty"`
+	Index    uint64      `json:"i,omitempty"` // previous index, last index or match, by type
+	LogTerm  uint64      `json:"l,omitempty"` // term at Index
+	Commit   uint64      `json:"c,omitempty"`
+	Entries  []Entry     `json:"e,omitempty"`
+	Reject   bool        `json:"r,omitempty"`
+	Hint     uint64      `json:"h,omitempty"` // last index of a member that rejected an append
+	Context  uint64      `json:"x,omitempty"` // read-index round
+	Transfer bool        `json:"v,omitempty"` // vote asked for by a leadership transfer
+	Snapshot *Snapshot   `json:"s,omitempty"`
+}
+
+// ReadState answers one ReadIndex call: everything up to Index was committed
+// when the call was made.
+type ReadState struct {
+	Context uint64
+	Index   uint64
+}
+
+// Ready is the work that a Node hands to its owner. See the package comment
+// for the order in which it must be carried out.
+type Ready struct {
+	HardState *HardState // nil when unchanged
+	Entries   []Entry    // to append; an index at or below the last one replaces the tail
+	Snapshot  *Snapshot  // received; replaces log and state
+	Early     []Message
+	Messages  []Message
+	Committed []Entry // to apply, in order
+	Reads     []ReadState
+}
+
+// Empty reports whether there is nothing to do.
+func (r Ready) Empty() bool {
+	return r.HardState == nil && len(r.Entries) == 0 && r.Snapshot == nil &&
+		len(r.Early) == 0 && len(r.Messages) == 0 && len(r.Committed) == 0 && len(r.Reads) == 0
+}
+
+// Role is the part that a Node plays in its term.
+type Role uint8
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role in lower case, for logs.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Outcomes of proposals. They are values for the owner to act on.
+var (
+	ErrNotLeader      = errors.New("this member is not the leader")
+	ErrTransferring   = errors.New("leadership is being handed over")
+	ErrChangePending  = errors.New("an earlier membership change is not yet applied")
+	ErrMemberBehind   = errors.New("the member changed last does not hold the log yet")
+	ErrMemberUnknown  = errors.New("no such member")
+	ErrRemoveLeader   = errors.New("the leader cannot remove itself; hand leadership over first")
+	ErrLastVoter      = errors.New("the last voter cannot be removed")
+	ErrTooManyPending = errors.New("too many proposals wait for the quorum")
+)
--- /dev/null
+++ b/internal/core/state/command.go
@@ -0,0 +1,124 @@
+package state
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/keepalive"
+)
+
+// Command is one entry of the replicated log. Exactly one part is set.
+type Command struct {
+	Time     time.Time       `json:"time"` // of the proposing leader; the state never moves back
+	By       string          `json:"by"`
+	Submit   *Submit         `json:"submit,omitempty"`
+	Withdraw *Withdraw       `json:"withdraw,omitempty"`
+	Endpoint *EndpointSet    `json:"endpoint,omitempty"`
+	Forget   *EndpointForget `json:"forget,omitempty"`
+	Grant    *Grant          `json:"grant,omitempty"`
+	Replica  *ReplicaSet     `json:"replica,omitempty"`
+	Open     *OpenClaim      `json:"open,omitempty"`
+	Settle   *SettleClaim    `json:"settle,omitempty"`
+	Expire   *Expire         `json:"expire,omitempty"`
+	History  *History        `json:"history,omitempty"`
+}
+
+// Submit writes a new record or revises one.
+type Submit struct {
+	Request string          `json:"request"` // operator request id; a resend gets the first answer
+	Base    ident.Index     `json:"base"`    // revision it was written against; 0 for a new record
+	Raw     json.RawMessage `json:"raw"`
+	Reason  string          `json:"reason,omitempty"`
+}
+
+// Withdraw ends a record.
+type Withdraw struct {
+	Request string      `json:"request"`
+	Name    string      `json:"name"`
+	Base    ident.Index `json:"base"`
+	Reason  string      `json:"reason,omitempty"`
+}
+
+// EndpointSet registers an endpoint or changes its standing.
+type EndpointSet struct {
+	Endpoint Endpoint `json:"endpoint"`
+	Reason   string   `json:"reason"`
+}
+
+// EndpointForget removes an endpoint whose host is known to be gone, together
+// with its replicas.
+type EndpointForget struct {
+	Host        ident.HostID      `json:"host"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Reason      string            `json:"reason"`
+}
+
+// Grant decides one replica.
+type Grant struct {
+	Target ident.Target `json:"target"`
+	Host   ident.HostID `json:"host"`
+	Reason string       `json:"reason"`
+}
+
+// ReplicaSet moves a replica to a phase; Gone removes it.
+type ReplicaSet struct {
+	ID     ident.Index  `json:"id"`
+	Phase  ReplicaPhase `json:"phase,omitempty"`
+	Gone   bool         `json:"gone,omitempty"`
+	Reason string       `json:"reason"`
+}
+
+// OpenClaim claims an idempotency key before the first run.
+type OpenClaim struct {
+	Key     ClaimKey        `json:"key"`
+	Digest  string          `json:"digest"`
+	Request ident.RequestID `json:"request"`
+	Within  time.Duration   `json:"within"` // until the request's deadline, from the command's time
+}
+
+// SettleClaim ends an open claim. NotRun releases the key for another try.
+type SettleClaim struct {
+	Key     ClaimKey        `json:"key"`
+	Request ident.RequestID `json:"request"`
+	NotRun  bool            `json:"notRun,omitempty"`
+	Unknown bool            `json:"unknown,omitempty"`
+	Answer  *Answer         `json:"answer,omitempty"`
+}
+
+// Expire drops what is older than the command's time allows.
+type Expire struct{}
+
+// History adds observed idle times to the keep-alive statistics.
+type History struct {
+	Samples []keepalive.Sample `json:"samples"`
+}
+
+// Code is the outcome of a command.
+type Code string
+
+// The outcomes.
+const (
+	OK           Code = "ok"
+	Invalid      Code = "invalid"       // the record is wrong; Problems tells how
+	Conflict     Code = "conflict"      // based on another revision; Present holds the content in force
+	NotFound     Code = "not_found"     // no such record, endpoint or replica
+	OverMemory   Code = "over_memory"   // the grant would overcommit the endpoint's memory
+	OverDecided  Code = "over_decided"  // the grant would exceed the sold number of replicas
+	Unavailable  Code = "unavailable"   // the endpoint is leaving, down or lacks the base model
+	Stale        Code = "stale"         // an older incarnation or an outdated phase
+	InProgress   Code = "in_progress"   // another request holds the key
+	DigestDiffer Code = "digest_differ" // the key was used with another body
+	Full         Code = "full"          // a bound of the state is reached
+)
+
+// Result is the answer to a command, the same on every control host.
+type Result struct {
+	Code     Code        `json:"code"`
+	Index    ident.Index `json:"index"`
+	Revision ident.Index `json:"revision,omitempty"`
+	Message  string      `json:"message,omitempty"`
+	Present  *Record     `json:"present,omitempty"`
+	Claim    *Claim      `json:"claim,omitempty"`
+	Resent   bool        `json:"resent,omitempty"` // the first answer to a request seen before
+}
--- /dev/null
+++ b/internal/core/state/replicas.go
@@ -0,0 +1,153 @@
+package state
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cassiapass/cassiapass/internal/core/ident"
+)
+
+func (s *State) setEndpoint(by string, c EndpointSet) Result {
+	e := c.Endpoint
+	old, known := s.endpoints[e.Host]
+	// A delayed registration of a process that no longer exists would undo
+	// that of its successor.
+	if known && e.Incarnation < old.Incarnation {
+		return Result{Code: Stale, Message: fmt.Sprintf("incarnation %d of %s is known", old.Incarnation, e.Host)}
+	}
+	if e.Memory < s.used[e.Host] {
+		// Replicas decided earlier cannot be wished away by a smaller setting.
+		return Result{Code: OverMemory, Message: fmt.Sprintf("%d bytes are granted at %s, more than %d", s.used[e.Host], e.Host, e.Memory)}
+	}
+	e.Revision = s.index
+	s.endpoints[e.Host] = e
+	s.changes = append(s.changes, Change{Index: s.index, Endpoint: &e})
+	s.log(AuditEvent{By: by, Action: ActionEndpoint, Subject: string(e.Host), Host: e.Host, Reason: c.Reason})
+	return Result{Code: OK, Revision: s.index}
+}
+
+func (s *State) forget(by string, c EndpointForget) Result {
+	old, known := s.endpoints[c.Host]
+	if !known || old.Incarnation != c.Incarnation {
+		return Result{Code: Stale, Message: fmt.Sprintf("%s is not known under incarnation %d", c.Host, c.Incarnation)}
+	}
+	for _, id := range s.ByHost(c.Host) {
+		s.remove(by, s.replicas[id], c.Reason)
+	}
+	delete(s.endpoints, c.Host)
+	s.changes = append(s.changes, Change{Index: s.index, Forgot: c.Host})
+	s.log(AuditEvent{By: by, Action: ActionEndpoint, Subject: string(c.Host), Host: c.Host, Reason: "forgotten: " + c.Reason})
+	return Result{Code: OK}
+}
+
+// grant decides a replica if both promises allow it. The planner has weighed
+// the same numbers before, but only here are they those of the log: a planner
+// that worked from an older state is refused, not trusted.
+func (s *State) grant(by string, c Grant) Result {
+	said, ok := s.stated[c.Target]
+	bytes := said.Bytes
+	if !ok {
+		return Result{Code: NotFound, Message: fmt.Sprintf("no record in force states %s", c.Target)}
+	}
+	e, ok := s.endpoints[c.Host]
+	if !ok || e.Leaving || !e.Up {
+		return Result{Code: Unavailable, Message: fmt.Sprintf("endpoint %s is unknown, down or leaving", c.Host)}
+	}
+	if s.Count(c.Target) >= s.Sold(c.Target) {
+		return Result{Code: OverDecided, Message: fmt.Sprintf("%d replicas of %s are decided already", s.Count(c.Target), c.Target)}
+	}
+	if s.used[c.Host]+bytes > e.Memory {
+		return Result{Code: OverMemory, Message: fmt.Sprintf("%s has %d of %d bytes granted; %d more do not fit", c.Host, s.used[c.Host], e.Memory, bytes)}
+	}
+	if _, dup := s.at(c.Target, c.Host); dup {
+		return Result{Code: OverDecided, Message: fmt.Sprintf("%s is at %s already", c.Target, c.Host)}
+	}
+	if base, ok := s.at(c.Target.Base(), c.Host); c.Target.IsAdapter() && (!ok || base.Phase == Draining) {
+		return Result{Code: Unavailable, Message: fmt.Sprintf("%s lacks the base model of %s", c.Host, c.Target)}
+	}
+	r := Replica{ID: s.index, Target: c.Target, Host: c.Host, Bytes: bytes, Phase: Granted, Reason: c.Reason, Since: s.now, Revision: s.index}
+	s.replicas[r.ID] = r
+	s.count(r, +1)
+	s.changes = append(s.changes, Change{Index: s.index, Replica: &r})
+	s.logReplica(by, ActionGrant, r, c.Reason)
+	return Result{Code: OK, Revision: r.ID}
+}
+
+// at returns the replica of t on host h.
+func (s *State) at(t ident.Target, h ident.HostID) (Replica, bool) {
+	id, ok := s.where[spot{t, h}]
+	return s.replicas[id], ok
+}
+
+// At returns the replica of t on host h.
+func (s *State) At(t ident.Target, h ident.HostID) (Replica, bool) { return s.at(t, h) }
+
+func (s *State) setReplica(by string, c ReplicaSet) Result {
+	r, ok := s.replicas[c.ID]
+	if !ok {
+		return Result{Code: NotFound, Message: fmt.Sprintf("no replica %d", c.ID)}
+	}
+	if c.Gone {
+		// The agent unloads adapters first; a base model that vanished took
+		// them along, and their own removal is on its way.
+		for _, dep := range s.Dependents(r) {
+			s.remove(by, dep, "its base model is gone: "+c.Reason)
+		}
+		s.remove(by, r, c.Reason)
+		return Result{Code: OK}
+	}
+	if r.Phase == Draining && c.Phase != Draining {
+		return Result{Code: Stale, Message: "a draining replica does not come back"}
+	}
+	if r.Phase == c.Phase {
+		return Result{Code: OK, Revision: r.Revision}
+	}
+	r.Phase, r.Since, r.Revision = c.Phase, s.now, s.index
+	s.replicas[r.ID] = r
+	s.changes = append(s.changes, Change{Index: s.index, Replica: &r})
+	action := ActionReady
+	if c.Phase == Draining {
+		action = ActionDrain
+	}
+	s.logReplica(by, action, r, c.Reason)
+	return Result{Code: OK, Revision: s.index}
+}
+
+// Dependents returns the adapter replicas that sit on base replica r.
+func (s *State) Dependents(r Replica) []Replica {
+	if r.Target.IsAdapter() {
+		return nil
+	}
+	var out []Replica
+	for _, id := range s.ByHost(r.Host) {
+		d := s.replicas[id]
+		if d.Target.IsAdapter() && d.Target.Base() == r.Target {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (s *State) remove(by string, r Replica, reason string) {
+	if _, ok := s.replicas[r.ID]; !ok {
+		return
+	}
+	delete(s.replicas, r.ID)
+	s.count(r, -1)
+	s.changes = append(s.changes, Change{Index: s.index, Removed: r.ID, Host: r.Host})
+	s.logReplica(by, ActionRemove, r, reason)
+}
+
+func (s *State) logReplica(by string, a Action, r Replica, reason string) {
+	s.log(AuditEvent{By: by, Action: a, Subject: fmt.Sprintf("replica %d", r.ID), Target: r.Target.String(), Host: r.Host, Reason: reason})
+}
+
+// ReplicasOf returns the replicas of a target, in order of decision.
+func (s *State) ReplicasOf(t ident.Target) []Replica {
+	var out []Replica
+	for _, id := range slices.Sorted(maps.Keys(s.byTarget[t])) {
+		out = append(out, s.replicas[id])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fake/engine.go
@@ -0,0 +1,490 @@
+// Package fake holds small stand-ins of the systems outside: a model engine, a
+// plain service, a weight store, the platform's host list and a TCP relay that
+// can misbehave. They count what really ran, so that tests can compare promises
+// with facts.
+package fake
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/ledger"
+	"github.com/cassiapass/cassiapass/internal/core/placement"
+)
+
+// EngineConfig is what an Engine is made from.
+type EngineConfig struct {
+	Memory       int64
+	HonoursFence bool
+	Store        *Store
+	FirstToken   time.Duration
+	TokenEvery   time.Duration
+}
+
+// EngineFaults are switched on by tests. Counts are used up, one per event.
+type EngineFaults struct {
+	CutAfter    int // bytes after which the next answers are cut, while CutAnswers > 0
+	CutAnswers  int
+	HangAnswers int // answers that stop after their first byte without closing
+	CrossedIDs  int // answers that carry another request's id
+	FailLoads   int // loads that are refused
+	LostOrders  int // orders carried out whose answer is lost
+}
+
+// Engine is a model engine with an OpenAI-style interface, load and unload
+// orders, fencing, resume and cancel.
+type Engine struct {
+	cfg EngineConfig
+
+	mu       sync.Mutex
+	faults   EngineFaults
+	floor    ident.Index
+	held     map[ident.Target]*heldModel
+	cached   map[ident.Target]placement.Source
+	requests map[string]*answer
+	runs     map[string]int // real runs by request body
+	attempts map[string]int // real runs by attempt id
+	over     int            // loads that would have exceeded memory
+	peak     int64
+	loads    int
+	hang     chan struct{}
+}
+
+type heldModel struct {
+	bytes   int64
+	loading bool
+	fence   ident.Index
+}
+
+// answer is one request's answer as it is generated.
+type answer struct {
+	mu     sync.Mutex
+	status int
+	ctype  string
+	buf    []byte
+	done   bool
+	cancel bool
+	grown  chan struct{}
+}
+
+// NewEngine returns an Engine that holds nothing.
+func NewEngine(cfg EngineConfig) *Engine {
+	return &Engine{
+		cfg: cfg, held: map[ident.Target]*heldModel{}, cached: map[ident.Target]placement.Source{}, requests: map[string]*answer{},
+		runs: map[string]int{}, attempts: map[string]int{}, hang: make(chan struct{}),
+	}
+}
+
+// Inject switches faults on.
+func (e *Engine) Inject(f EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Close releases answers that hang.
+func (e *Engine) Close() { close(e.hang) }
+
+// Cache places a checkpoint near the engine.
+func (e *Engine) Cache(t ident.Target, s placement.Source) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cached[t] = s
+}
+
+// Lose forgets everything loaded, as a restart of the engine would.
+func (e *Engine) Lose() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.held)
+}
+
+// Facts is what the engine really did.
+type Facts struct {
+	Runs       map[string]int // by request body
+	Attempts   map[string]int // by attempt id
+	Overcommit int
+	Peak       int64
+	Loads      int
+	Held       []ident.Target
+}
+
+// Facts returns a copy of what the engine did.
+func (e *Engine) Facts() Facts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f := Facts{Runs: map[string]int{}, Attempts: map[string]int{}, Overcommit: e.over, Peak: e.peak, Loads: e.loads}
+	for k, v := range e.runs {
+		f.Runs[k] = v
+	}
+	for k, v := range e.attempts {
+		f.Attempts[k] = v
+	}
+	for t := range e.held {
+		f.Held = append(f.Held, t)
+	}
+	return f
+}
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v1/chat/completions", e.complete)
+	m.HandleFunc("POST /v1/completions", e.complete)
+	m.HandleFunc("GET /v1/requests/{id...}", e.resume)
+	m.HandleFunc("DELETE /v1/requests/{id...}", e.cancel)
+	m.HandleFunc("POST /admin/floor", e.setFloor)
+	m.HandleFunc("POST /admin/load", e.load)
+	m.HandleFunc("POST /admin/unload", e.unload)
+	m.HandleFunc("GET /admin/models", e.list)
+	m.HandleFunc("GET /admin/cached", e.listCached)
+	return m
+}
+
+type orderBody struct {
+	Target ident.Target `json:"target"`
+	Bytes  int64        `json:"bytes"`
+	Fence  ident.Index  `json:"fence"`
+}
+
+func readOrder(w http.ResponseWriter, r *http.Request) (orderBody, bool) {
+	var o orderBody
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return o, false
+	}
+	return o, true
+}
+
+func (e *Engine) setFloor(w http.ResponseWriter, r *http.Request) {
+	o, ok := readOrder(w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.HonoursFence {
+		e.floor = max(e.floor, o.Fence)
+		// Loads under older numbers are given up.
+		for t, h := range e.held {
+			if h.loading && h.fence < e.floor {
+				delete(e.held, t)
+			}
+		}
+	}
+}
+
+// load carries out a load order. It takes as long as the checkpoint's source
+// makes it take, whether the caller waits for it or not.
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	o, ok := readOrder(w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	switch {
+	case e.cfg.HonoursFence && o.Fence < e.floor:
+		e.mu.Unlock()
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	case e.faults.FailLoads > 0:
+		e.faults.FailLoads--
+		e.mu.Unlock()
+		http.Error(w, "load refused", http.StatusUnprocessableEntity)
+		return
+	}
+	if h := e.held[o.Target]; h != nil && !h.loading {
+		e.mu.Unlock()
+		return
+	}
+	if e.used()+o.Bytes > e.cfg.Memory {
+		e.over++
+		e.mu.Unlock()
+		http.Error(w, "out of memory", http.StatusInsufficientStorage)
+		return
+	}
+	h := &heldModel{bytes: o.Bytes, loading: true, fence: o.Fence}
+	e.held[o.Target] = h
+	e.peak = max(e.peak, e.used())
+	e.loads++
+	source := e.cached[o.Target]
+	e.mu.Unlock()
+	e.cfg.Store.Load(source, o.Bytes)
+	e.mu.Lock()
+	if e.held[o.Target] == h {
+		h.loading = false
+		e.cached[o.Target] = placement.FromMemory
+	}
+	e.mu.Unlock()
+	e.answerOrder(w)
+}
+
+func (e *Engine) used() int64 {
+	sum := int64(0)
+	for _, h := range e.held {
+		sum += h.bytes
+	}
+	return sum
+}
+
+// answerOrder answers, or loses the answer if a test asks for it.
+func (e *Engine) answerOrder(http.ResponseWriter) {
+	e.mu.Lock()
+	lost := e.faults.LostOrders > 0
+	if lost {
+		e.faults.LostOrders--
+	}
+	e.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Engine) unload(w http.ResponseWriter, r *http.Request) {
+	o, ok := readOrder(w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	if e.cfg.HonoursFence && o.Fence < e.floor {
+		e.mu.Unlock()
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	delete(e.held, o.Target)
+	e.mu.Unlock()
+	e.answerOrder(w)
+}
+
+func (e *Engine) list(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	out := []ledger.Held{}
+	for t, h := range e.held {
+		out = append(out, ledger.Held{Target: t, Bytes: h.bytes, Loading: h.loading})
+	}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (e *Engine) listCached(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	out := []placement.CachedAt{}
+	for t, s := range e.cached {
+		out = append(out, placement.CachedAt{Target: t, Source: s})
+	}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, out)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+type completionBody struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+const defaultTokens = 8
+
+// Text returns the answer text that any engine gives to a request body: it
+// depends on the body alone, so a test can tell a caller's own answer from
+// another's.
+func Text(body []byte, tokens int) []string {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(body, &fields) == nil {
+		delete(fields, "model")
+		body, _ = json.Marshal(fields)
+	}
+	sum := sha256.Sum256(body)
+	h := hex.EncodeToString(sum[:])
+	out := make([]string, tokens)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s-%d ", h[i%16:i%16+8], i)
+	}
+	return out
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var b completionBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if b.MaxTokens == 0 {
+		b.MaxTokens = defaultTokens
+	}
+	t, err := ident.ParseTarget(b.Model)
+	if err != nil || !e.has(t) {
+		writeJSON(w, http.StatusNotFound, map[string]string{"error": "model not loaded"})
+		return
+	}
+	a := &answer{status: http.StatusOK, ctype: "application/json", grown: make(chan struct{})}
+	if b.Stream {
+		a.ctype = "text/event-stream"
+	}
+	e.mu.Lock()
+	e.requests[id] = a
+	e.runs[string(body)]++
+	e.attempts[id]++
+	e.mu.Unlock()
+	go e.generate(a, b, body)
+	e.send(w, r, id, a, 0)
+}
+
+func (e *Engine) has(t ident.Target) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h := e.held[t]
+	return h != nil && !h.loading
+}
+
+// generate writes the answer token by token.
+func (e *Engine) generate(a *answer, b completionBody, body []byte) {
+	time.Sleep(e.cfg.FirstToken)
+	tokens := Text(body, b.MaxTokens)
+	for i, tok := range tokens {
+		if i > 0 && e.cfg.TokenEvery > 0 {
+			time.Sleep(e.cfg.TokenEvery)
+		}
+		if b.Stream {
+			a.add(fmt.Sprintf("data: {\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", tok), false)
+		}
+		if a.cancelled() {
+			return
+		}
+	}
+	if b.Stream {
+		a.add("data: [DONE]\n\n", true)
+		return
+	}
+	text, _ := json.Marshal(strings.Join(tokens, ""))
+	a.add(fmt.Sprintf("{\"object\":\"chat.completion\",\"model\":%q,\"choices\":[{\"index\":0,\"message\":{\"role\":\"assistant\",\"content\":%s},\"finish_reason\":\"stop\"}]}", b.Model, text), true)
+}
+
+func (a *answer) add(s string, done bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.buf = append(a.buf, s...)
+	a.done = done
+	close(a.grown)
+	a.grown = make(chan struct{})
+}
+
+func (a *answer) cancelled() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.cancel
+}
+
+// next returns what lies behind offset, whether that is the end, and a channel
+// that is closed when there is more.
+func (a *answer) next(offset int) ([]byte, bool, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if offset > len(a.buf) {
+		return nil, true, a.grown
+	}
+	return a.buf[offset:], a.done, a.grown
+}
+
+// send writes an answer from offset on, with the faults that tests asked for.
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, id string, a *answer, offset int) {
+	cut, hang, crossed := e.takeFaults()
+	if crossed {
+		id = "somebody-else/1"
+	}
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("Content-Type", a.ctype)
+	w.WriteHeader(a.status)
+	sent := 0
+	for {
+		p, done, grown := a.next(offset)
+		if cut > 0 && sent+len(p) > cut {
+			_, _ = w.Write(p[:max(0, cut-sent)])
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write(p); err != nil {
+			return
+		}
+		offset += len(p)
+		sent += len(p)
+		w.(http.Flusher).Flush()
+		if done {
+			return
+		}
+		if hang && sent > 0 {
+			select {
+			case <-e.hang:
+			case <-r.Context().Done():
+			}
+			return
+		}
+		select {
+		case <-grown:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *Engine) takeFaults() (cut int, hang, crossed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.CutAnswers > 0 {
+		e.faults.CutAnswers--
+		cut = e.faults.CutAfter
+	}
+	if e.faults.HangAnswers > 0 {
+		e.faults.HangAnswers--
+		hang = true
+	}
+	if e.faults.CrossedIDs > 0 {
+		e.faults.CrossedIDs--
+		crossed = true
+	}
+	return cut, hang, crossed
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	offset, _ := strconv.Atoi(r.URL.Query().Get("offset"))
+	e.mu.Lock()
+	a, ok := e.requests[id]
+	e.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	e.send(w, r, id, a, offset)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	a, ok := e.requests[r.PathValue("id")]
+	e.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	a.mu.Lock()
+	a.cancel = true
+	a.mu.Unlock()
+}
