Planner: no reloading for demand already met, prewarm from real wakes only

(1) A want stayed open for 20 s after its replica was ready, so a replica unloaded as idle was loaded again for the same demand. (2) Every repeated demand message prewarmed companions again. (3) Pauses inside a visit counted as wakes, so whatever was used at the same time looked related. Ruled out: eviction (no victim was reloaded within its minimum residence). Also: estimates were recomputed for every wanted target at every pass, and replica lists were sorted at every read.

Change: a want ends when a replica became ready after it; companions are brought in by the first demand only and learned from pauses over 30 s; estimates are made when asked; replica lists are kept in order.

--- a/internal/app/control/duties.go
+++ b/internal/app/control/duties.go
@@ -128,13 +128,13 @@
 	d.plan(now, l)
 	var out wire.DemandResult
 	for _, in := range p.Demands {
-		out.Estimates = append(out.Estimates, d.estimate(now, in.Demand.Target))
+		out.Estimates = append(out.Estimates, d.estimate(now, l.st, in.Demand.Target))
 	}
 	return out
 }
 
-func (d *duties) estimate(now time.Time, t ident.Target) wire.EstimateIn {
-	e, ok := d.planner.Estimate(t)
+func (d *duties) estimate(now time.Time, st *state.State, t ident.Target) wire.EstimateIn {
+	e, ok := d.planner.Estimate(now, st, t)
 	if !ok || e.Ready.IsZero() {
 		return wire.EstimateIn{Target: t, Reason: e.Reason}
 	}
--- a/internal/app/control/http.go
+++ b/internal/app/control/http.go
@@ -248,7 +248,7 @@
 			}
 		}
 		if d := c.loop.duties; d.leading != 0 {
-			est := d.estimate(time.Now(), t)
+			est := d.estimate(time.Now(), s, t)
 			ex.Estimate = &est
 		}
 	})
--- a/internal/app/replay/host.go
+++ b/internal/app/replay/host.go
@@ -46,6 +46,9 @@
 
 // start begins a life of the endpoint: a new agent and an empty engine.
 func (h *host) start() {
+	if h.up {
+		return
+	}
 	h.up, h.leaving = true, false
 	h.life++
 	h.ledger = ledger.New(ledger.Config{Memory: h.w.Memory, HonoursFence: true, LongestOrder: longestOrder, AskEvery: time.Second}, h.r.now)
--- a/internal/app/replay/report.go
+++ b/internal/app/replay/report.go
@@ -28,7 +28,8 @@
 	Trace    string `json:"trace"`
 	Policy   string `json:"policy"`
 	Requests int    `json:"requests"`
-	Cold     int    `json:"cold"` // requests that waited for a load and were answered
+	Cold     int    `json:"cold"`   // requests that waited for a load and were answered
+	Over10s  int    `json:"over10"` // of these, those that waited longer than 10 s
 
 	// Seconds from arrival to the first token of requests that waited for a
 	// load. A refused one counts with its whole deadline in ColdP99Refused.
@@ -96,6 +97,9 @@
 	}
 	ms := took.Milliseconds()
 	rep.Cold++
+	if took > 10*time.Second {
+		rep.Over10s++
+	}
 	_ = rep.cold.RecordValue(ms)
 	_ = rep.coldAll.RecordValue(ms)
 	_ = rep.of(q).cold.RecordValue(ms)
@@ -186,6 +190,7 @@
 	row("policy", func(r *Report) string { return r.Policy })
 	row("requests", func(r *Report) string { return fmt.Sprint(r.Requests) })
 	row("cold", func(r *Report) string { return fmt.Sprint(r.Cold) })
+	row("cold over 10 s", func(r *Report) string { return fmt.Sprint(r.Over10s) })
 	row("cold start p50", sec(func(r *Report) float64 { return r.ColdP50 }))
 	row("p95", sec(func(r *Report) float64 { return r.ColdP95 }))
 	row("p99", sec(func(r *Report) float64 { return r.ColdP99 }))
--- a/internal/app/replay/run.go
+++ b/internal/app/replay/run.go
@@ -82,11 +82,26 @@
 		end = at
 	}
 	r.sample()
-	r.run(end.Add(5 * time.Minute))
+	r.run(end.Add(tail(t)))
 	r.finish()
 	return r.rep, nil
 }
 
+const (
+	shortTail = 90 * time.Second
+	longTail  = time.Hour
+)
+
+// tail is how long a replay goes on after the last line: until every request
+// has ended.
+func tail(t *Trace) time.Duration {
+	most := 0.0
+	for _, l := range t.Lines {
+		most = max(most, l.Deadline)
+	}
+	return min(seconds(most)+shortTail, longTail)
+}
+
 func newRunner(t *Trace, opts Options) *runner {
 	w := t.World
 	cfg := opts.Placement
@@ -255,7 +270,7 @@
 	}
 	r.plan()
 	r.keepPlanning()
-	if est, ok := r.planner.Estimate(t); ok {
+	if est, ok := r.planner.Estimate(r.now, r.st, t); ok {
 		r.refuseHopeless(t, est)
 	}
 }
--- a/internal/core/keepalive/keepalive.go
+++ b/internal/core/keepalive/keepalive.go
@@ -24,10 +24,11 @@
 	halving     = 4096        // wakes after which old observations count half
 )
 
-// Sample is one observed wake of a target.
+// Sample is one observed use of a target after a pause.
 type Sample struct {
 	Target ident.Target   `json:"target"`
 	Idle   time.Duration  `json:"idle"`           // time since its last use; 0 if unknown
+	Woke   bool           `json:"woke,omitempty"` // the pause was long
 	With   []ident.Target `json:"with,omitempty"` // targets that woke shortly before
 }
 
@@ -76,7 +77,9 @@
 }
 
 func (st *Stats) add(s Sample) {
-	st.Wakes++
+	if s.Woke {
+		st.Wakes++
+	}
 	if s.Idle > 0 {
 		st.Gaps[bucket(s.Idle)]++
 	}
@@ -182,7 +185,7 @@
 
 // DefaultTuning is the tuning measured best in docs/DESIGN.md.
 func DefaultTuning() Tuning {
-	return Tuning{Min: 5 * time.Second, Max: 2 * time.Hour, ColdValue: 20}
+	return Tuning{Min: 5 * time.Second, Max: 2 * time.Hour, ColdValue: 40}
 }
 
 // KeepFor returns how long a replica may stay idle: the duration with the
--- a/internal/core/placement/demand.go
+++ b/internal/core/placement/demand.go
@@ -34,6 +34,7 @@
 	if _, ok := st.Stated(d.Target); !ok {
 		return
 	}
+	_, again := p.wants[d.Target]
 	w := p.want(now, d.Target)
 	w.by[source{d.Entry, d.Customer}] = asked{now, d}
 	// The requests may be refused because they cannot be met in time; those
@@ -43,7 +44,7 @@
 	if d.Target.IsAdapter() {
 		p.lastUse[d.Target.Base()] = maxTime(p.lastUse[d.Target.Base()], now)
 	}
-	if p.cfg.Prewarm && p.cfg.Policy == PolicyHistory {
+	if !again && p.cfg.Prewarm && p.cfg.Policy == PolicyHistory {
 		p.prewarm(now, st, d.Target)
 	}
 }
--- a/internal/core/placement/loads.go
+++ b/internal/core/placement/loads.go
@@ -19,7 +19,6 @@
 	for _, it := range p.queue(now, st) {
 		cmds = append(cmds, p.planOne(now, st, it, slots)...)
 	}
-	p.estimateLoading(now, st)
 	return cmds
 }
 
@@ -161,16 +160,6 @@
 	return state.Command{Replica: &state.ReplicaSet{ID: r.ID, Phase: state.Draining, Reason: reason}}
 }
 
-// estimateLoading estimates targets whose replica is loading already.
-func (p *Planner) estimateLoading(now time.Time, st *state.State) {
-	for t := range p.wants {
-		if st.Count(t) == 0 {
-			continue
-		}
-		p.etas[t] = p.estimateReplicas(now, st, t)
-	}
-}
-
 func (p *Planner) estimateReplicas(now time.Time, st *state.State, t ident.Target) Estimate {
 	est := Estimate{Target: t}
 	for _, r := range st.ReplicasOf(t) {
@@ -210,8 +199,11 @@
 	return at
 }
 
-// Estimate returns the newest estimate for a target and whether there is one.
-func (p *Planner) Estimate(t ident.Target) (Estimate, bool) {
+// Estimate tells when a replica of t is expected, and whether that is known.
+func (p *Planner) Estimate(now time.Time, st *state.State, t ident.Target) (Estimate, bool) {
+	if st.Count(t) > 0 {
+		return p.estimateReplicas(now, st, t), true
+	}
 	e, ok := p.etas[t]
 	return e, ok
 }
--- a/internal/core/placement/planner.go
+++ b/internal/core/placement/planner.go
@@ -152,14 +152,25 @@
 	if known {
 		s.Idle = at.Sub(last)
 	}
+	// Only a use after a long pause is a wake; pauses inside a visit would
+	// make everything that is used at the same time look related.
+	if s.Woke = !known || s.Idle > wakeWindow; s.Woke {
+		s.With = p.wokeWith(at, t)
+	}
+	p.samples = append(p.samples, s)
+}
+
+// wokeWith records a wake and returns the targets that woke shortly before.
+func (p *Planner) wokeWith(at time.Time, t ident.Target) []ident.Target {
+	var with []ident.Target
 	p.wakes = dropBefore(p.wakes, at.Add(-wakeWindow))
 	for _, w := range p.wakes {
-		if w.target != t && len(s.With) < maxCompanions {
-			s.With = append(s.With, w.target)
+		if w.target != t && len(with) < maxCompanions {
+			with = append(with, w.target)
 		}
 	}
 	p.wakes = append(p.wakes, wake{at, t})
-	p.samples = append(p.samples, s)
+	return with
 }
 
 const maxCompanions = 16 // targets recorded with one wake
@@ -218,6 +229,11 @@
 	}
 	for t, w := range p.wants {
 		w.prune(now, p.cfg)
+		if len(w.by) == 0 && p.readySince(st, t, w.first) {
+			// Met: what is unloaded later, being idle, must not be loaded
+			// again for the same demand.
+			w.warmTil = now
+		}
 		if w.empty(now) {
 			delete(p.wants, t)
 			delete(p.etas, t)
@@ -225,6 +241,16 @@
 	}
 }
 
+// readySince reports whether t has become ready after the given time.
+func (p *Planner) readySince(st *state.State, t ident.Target, since time.Time) bool {
+	for _, r := range st.ReplicasOf(t) {
+		if r.Phase == state.Ready && !r.Since.Before(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // Applied tells the Planner that the log carried out or refused a command, so
 // that it may propose anew.
 func (p *Planner) Applied(c state.Command, res state.Result) {
--- a/internal/core/state/replicas.go
+++ b/internal/core/state/replicas.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 )
@@ -146,7 +144,7 @@
 // ReplicasOf returns the replicas of a target, in order of decision.
 func (s *State) ReplicasOf(t ident.Target) []Replica {
 	var out []Replica
-	for _, id := range slices.Sorted(maps.Keys(s.byTarget[t])) {
+	for _, id := range s.byTarget[t] {
 		out = append(out, s.replicas[id])
 	}
 	return out
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -25,10 +25,10 @@
 
 	endpoints map[ident.HostID]Endpoint
 	replicas  map[ident.Index]Replica
-	used      map[ident.HostID]int64 // bytes of all replicas by endpoint
-	byTarget  map[ident.Target]map[ident.Index]struct{}
+	used      map[ident.HostID]int64         // bytes of all replicas by endpoint
+	byTarget  map[ident.Target][]ident.Index // in order of decision
 	where     map[spot]ident.Index
-	byHost    map[ident.HostID]map[ident.Index]struct{}
+	byHost    map[ident.HostID][]ident.Index
 	stated    map[ident.Target]Statement // what the records in force say of each target
 
 	claims  map[ClaimKey]Claim
@@ -62,8 +62,8 @@
 	return &State{
 		records: map[string]Record{}, results: map[string]storedResult{},
 		endpoints: map[ident.HostID]Endpoint{}, replicas: map[ident.Index]Replica{},
-		where: map[spot]ident.Index{}, byHost: map[ident.HostID]map[ident.Index]struct{}{},
-		used: map[ident.HostID]int64{}, byTarget: map[ident.Target]map[ident.Index]struct{}{}, stated: map[ident.Target]Statement{},
+		where: map[spot]ident.Index{}, byHost: map[ident.HostID][]ident.Index{},
+		used: map[ident.HostID]int64{}, byTarget: map[ident.Target][]ident.Index{}, stated: map[ident.Target]Statement{},
 		claims: map[ClaimKey]Claim{}, expiry: map[int64][]ClaimKey{}, open: map[ClaimKey]struct{}{},
 		history: keepalive.NewHistory(),
 	}
@@ -226,10 +226,9 @@
 	return nil
 }
 
-// ByHost returns the ids of the replicas at an endpoint, in order.
-func (s *State) ByHost(h ident.HostID) []ident.Index {
-	return slices.Sorted(maps.Keys(s.byHost[h]))
-}
+// ByHost returns the ids of the replicas at an endpoint, in order. The caller
+// only reads them.
+func (s *State) ByHost(h ident.HostID) []ident.Index { return s.byHost[h] }
 
 // count adds or removes a replica from the sums and indexes.
 func (s *State) count(r Replica, sign int) {
@@ -249,18 +248,19 @@
 	dropFrom(s.byTarget, r.Target, r.ID)
 }
 
-func addTo[K comparable](m map[K]map[ident.Index]struct{}, k K, id ident.Index) {
-	if m[k] == nil {
-		m[k] = map[ident.Index]struct{}{}
-	}
-	m[k][id] = struct{}{}
+// addTo inserts id in order. A new slice is made where the old one may be
+// shared, so that a caller who ranges over it sees it unchanged.
+func addTo[K comparable](m map[K][]ident.Index, k K, id ident.Index) {
+	at, _ := slices.BinarySearch(m[k], id)
+	m[k] = slices.Insert(slices.Clone(m[k]), at, id)
 }
 
-func dropFrom[K comparable](m map[K]map[ident.Index]struct{}, k K, id ident.Index) {
-	delete(m[k], id)
-	if len(m[k]) == 0 {
+func dropFrom[K comparable](m map[K][]ident.Index, k K, id ident.Index) {
+	if len(m[k]) == 1 {
 		delete(m, k)
+		return
 	}
+	m[k] = slices.DeleteFunc(slices.Clone(m[k]), func(x ident.Index) bool { return x == id })
 }
 
 // Check asserts the promises that hold after every command: memory is never
