--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"time"
@@ -15,6 +16,9 @@
 	"github.com/rs/zerolog"
 )
 
+// maxStoreConcurrent bounds the loads at once: the planner keeps a slot for each.
+const maxStoreConcurrent = 1000
+
 // exitFailed is the exit code of a process that could not start or go on.
 const exitFailed = 1
 
@@ -59,7 +63,9 @@
 		settings.Positive(c, "host-list-interval", o.HostEvery)
 		settings.Positive(c, "gone-wait", o.GoneWait)
 		settings.Positive(c, "store-rate", o.StoreRate)
-		settings.Positive(c, "store-concurrent", o.StoreConcurrent)
+		if o.StoreConcurrent < 1 || o.StoreConcurrent > maxStoreConcurrent {
+			c.Fail("store-concurrent", fmt.Sprint(o.StoreConcurrent), "1 to 1000")
+		}
 		settings.Positive(c, "store-speed", o.StoreSpeed)
 		settings.Positive(c, "disk-speed", o.DiskSpeed)
 		settings.Positive(c, "memory-speed", o.MemorySpeed)
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -209,8 +209,11 @@
 		e := l.entries[id]
 		h, there := byTarget[e.Target]
 		delete(byTarget, e.Target)
-		if !e.since.Before(asked) {
-			continue // it changed while the answer was on its way
+		// What changed while the answer was on its way is not judged by it.
+		// A grant without an order is: whatever the engine holds of it counts
+		// from now on, or a load could be given memory that is taken.
+		if e.phase != Waiting && !e.since.Before(asked) {
+			continue
 		}
 		events = append(events, l.settle(now, e, h, there)...)
 	}
@@ -219,7 +222,6 @@
 			l.addForeign(now, h)
 		}
 	}
-	l.check()
 	return events
 }
 
@@ -227,6 +229,8 @@
 func (l *Ledger) settle(now time.Time, e *entry, h Held, there bool) []Event {
 	switch {
 	case there && !h.Loading && (e.phase == Uncertain || e.phase == Waiting):
+		// A record may state another size than the one that was loaded.
+		e.Bytes = max(e.Bytes, h.Bytes)
 		e.set(Loaded, now)
 		if e.Drain {
 			e.set(Draining, now)
@@ -234,7 +238,9 @@
 		return l.announce(e, 0)
 	case there && h.Loading && e.phase == Waiting:
 		e.set(Uncertain, now)
-	case !there && e.phase == Uncertain && !now.Before(l.quarantine) && now.Sub(e.since) >= l.settleAfter():
+	// An order without an answer may still be on its way to the engine, also
+	// to one that honours fencing: its number is not old. It is waited out.
+	case !there && e.phase == Uncertain && !now.Before(l.quarantine) && now.Sub(e.since) >= l.cfg.LongestOrder:
 		return l.gone(e, "the engine does not hold it")
 	case !there && (e.phase == Loaded || e.phase == Draining):
 		return l.gone(e, "the engine lost it")
@@ -247,16 +253,6 @@
 	return nil
 }
 
-// settleAfter is how long an uncertain order may still take effect. An engine
-// that honours fencing tells the truth at once, because the list request
-// follows the order on the same engine; another may carry it out later.
-func (l *Ledger) settleAfter() time.Duration {
-	if l.cfg.HonoursFence {
-		return 0
-	}
-	return l.cfg.LongestOrder
-}
-
 func (l *Ledger) addForeign(now time.Time, h Held) {
 	l.foreign--
 	phase := Draining
@@ -314,7 +310,6 @@
 	if now.Before(l.quarantine) || l.doubt {
 		out = append(out, l.ask(now)...)
 	}
-	l.check()
 	return out
 }
 
@@ -348,6 +343,7 @@
 	}
 	e.set(Loading, now)
 	l.peak = max(l.peak, l.Used())
+	l.check()
 	return []Order{l.order(OrderLoad, e)}
 }
 
@@ -452,16 +448,9 @@
 	return ids
 }
 
-// check asserts that memory given out by this ledger fits. What the engine was
-// found to hold beyond that came before this process and is being unloaded.
+// check asserts at every load order that everything that counts fits.
 func (l *Ledger) check() {
-	given := int64(0)
-	for _, e := range l.entries {
-		if e.decided && e.phase != Waiting {
-			given += e.Bytes
-		}
-	}
-	if given > l.cfg.Memory {
-		panic(fmt.Sprintf("invariant: ledger: %d bytes given out of %d", given, l.cfg.Memory))
+	if used := l.Used(); used > l.cfg.Memory {
+		panic(fmt.Sprintf("invariant: ledger: %d bytes given out of %d", used, l.cfg.Memory))
 	}
 }
