--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -99,7 +99,8 @@
 	cached     map[ident.Target]placement.Source
 	toReport   placement.Report // what the next beat tells beside the load
 	cachedAt   time.Time
-	events     chan ledger.Event
+	events     []ledger.Event // to be committed, in order; at most two per replica decided
+	newEvent   chan struct{}
 }
 
 // New starts an agent.
@@ -110,14 +111,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		cfg: cfg, backend: cfg.Plain, count: &rpc.Counter{}, ctx: ctx, cancel: cancel,
-		ledger:  ledger.New(ledger.Config{Memory: cfg.Memory, HonoursFence: cfg.HonoursFence, LongestOrder: cfg.LongestOrder, AskEvery: time.Second}, time.Now()),
-		queue:   admission.New(admission.Config{Slots: cfg.Slots, MaxQueue: cfg.MaxQueue, Expected: time.Second}),
-		runs:    map[ident.Attempt]*run{},
-		barred:  map[ident.Attempt]time.Time{},
-		decided: map[ident.Index]bool{},
-		used:    map[ident.Index]time.Time{},
-		cached:  map[ident.Target]placement.Source{},
-		events:  make(chan ledger.Event, 1024),
+		ledger:   ledger.New(ledger.Config{Memory: cfg.Memory, HonoursFence: cfg.HonoursFence, LongestOrder: cfg.LongestOrder, AskEvery: time.Second}, time.Now()),
+		queue:    admission.New(admission.Config{Slots: cfg.Slots, MaxQueue: cfg.MaxQueue, Expected: time.Second}),
+		runs:     map[ident.Attempt]*run{},
+		barred:   map[ident.Attempt]time.Time{},
+		decided:  map[ident.Index]bool{},
+		used:     map[ident.Index]time.Time{},
+		cached:   map[ident.Target]placement.Source{},
+		newEvent: make(chan struct{}, 1),
 	}
 	if cfg.Engine != nil {
 		a.backend = cfg.Engine
@@ -305,13 +306,11 @@
 
 // post hands events to the goroutine that tells control.
 func (a *Agent) post(events []ledger.Event) {
-	for _, e := range events {
-		select {
-		case a.events <- e:
-		default:
-			a.cfg.Log.Error().Uint64("replica", uint64(e.ID)).Msg("event_queue_full")
-		}
+	if len(events) == 0 {
+		return
 	}
+	a.events = append(a.events, events...)
+	poke(a.newEvent)
 }
 
 // Load returns the load that is attached to answers.
--- a/internal/app/agent/orders.go
+++ b/internal/app/agent/orders.go
@@ -109,12 +109,29 @@
 		select {
 		case <-a.ctx.Done():
 			return
-		case e := <-a.events:
+		case <-a.newEvent:
+		}
+		for a.ctx.Err() == nil {
+			e, ok := a.nextEvent()
+			if !ok {
+				break
+			}
 			a.tell(e)
 		}
 	}
 }
 
+func (a *Agent) nextEvent() (ledger.Event, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.events) == 0 {
+		return ledger.Event{}, false
+	}
+	e := a.events[0]
+	a.events = a.events[1:]
+	return e, true
+}
+
 func (a *Agent) tell(e ledger.Event) {
 	set := &state.ReplicaSet{ID: e.ID, Phase: state.Ready, Reason: e.Reason}
 	if !e.Ready {
--- a/internal/app/dev/main.go
+++ b/internal/app/dev/main.go
@@ -12,6 +12,7 @@
 	"github.com/cassiapass/cassiapass/internal/adapter/logs"
 	"github.com/cassiapass/cassiapass/internal/adapter/settings"
 	"github.com/cassiapass/cassiapass/internal/app/daemon"
+	"github.com/cassiapass/cassiapass/internal/fake"
 )
 
 // Options are the settings of cassiapass-dev.
@@ -20,6 +21,7 @@
 	Controls int              `long:"controls" env:"CASSIAPASS_DEV_CONTROLS" default:"1" description:"control hosts, 1, 3 or 5"`
 	Entries  int              `long:"entries" env:"CASSIAPASS_DEV_ENTRIES" default:"2" description:"entries"`
 	BasePort int              `long:"base-port" env:"CASSIAPASS_DEV_BASE_PORT" default:"7400" description:"first of the ports used on 127.0.0.1; 0 picks free ones"`
+	EngineAt string           `long:"engine-at" env:"CASSIAPASS_DEV_ENGINE_AT" description:"run only the stand-in engine, 24 GB, at this address, for trying the separate programs"`
 	Logging  settings.Logging `group:"Logging"`
 }
 
@@ -39,6 +41,7 @@
 			c.Fail("controls", fmt.Sprint(o.Controls), "1, 3 or 5")
 		}
 		settings.Positive(c, "entries", o.Entries)
+		c.Addr("engine-at", o.EngineAt, true)
 		if o.BasePort < 0 || o.BasePort > topPort {
 			c.Fail("base-port", fmt.Sprint(o.BasePort), "0 to 65000")
 		}
@@ -47,6 +50,9 @@
 	if !ok {
 		return code, nil
 	}
+	if o.EngineAt != "" {
+		return engineOnly(o.EngineAt, logs.New(errs, level, "engine", "localhost"))
+	}
 	dir := o.Data
 	if dir == "" {
 		tmp, err := TempDir()
@@ -76,6 +82,19 @@
 	return 0, nil
 }
 
+// engineOnly runs the stand-in engine alone.
+func engineOnly(addr string, log zerolog.Logger) (int, error) {
+	cfg := DefaultConfig("", log)
+	eng := fake.NewEngine(fake.EngineConfig{Memory: cfg.Engines[0].Memory, HonoursFence: true, Store: cfg.Store, FirstToken: cfg.FirstToken, TokenEvery: cfg.TokenEvery})
+	srv, err := daemon.Serve(addr, eng.Handler(), "", "", log)
+	if err != nil {
+		return 1, err
+	}
+	daemon.Wait(log)
+	srv.Close()
+	return 0, nil
+}
+
 // listenFrom gives every listener a fixed port, so that addresses in the README
 // work by copy and paste.
 func listenFrom(base int) func(string, int) string {
