Notifications are written and taken apart without the library's two passes

Change: a mark in the frame's length tells notifications; they stay JSON-RPC on the wire but are built and split directly, in the order of arrival as before.

--- a/internal/adapter/rpc/auth.go
+++ b/internal/adapter/rpc/auth.go
@@ -96,11 +96,11 @@
 	if err != nil {
 		return err
 	}
-	return s.writeFrame(b)
+	return s.writeFrame(0, b)
 }
 
 func readHello(s *stream) (hello, error) {
-	b, err := s.readFrame(maxHandshake)
+	b, _, err := s.readFrame(maxHandshake)
 	if err != nil {
 		return hello{}, err
 	}
--- a/internal/adapter/rpc/frame.go
+++ b/internal/adapter/rpc/frame.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -19,14 +21,24 @@
 	frameHeader  = 4
 	writeTimeout = 5 * time.Second
 	bufferSize   = 4 << 10
+
+	// notifyMark is set in the length of a frame that holds a notification.
+	// Those carry the parts of answers, one per token: they are written and
+	// taken apart here, without the library's two passes over every message.
+	notifyMark = 1 << 31
+	notifyHead = `{"jsonrpc":"2.0","method":"`
+	notifyMid  = `","params":`
 )
 
+var errNotification = errors.New("a frame marked as a notification is none")
+
 // stream is a jsonrpc2.ObjectStream of length-prefixed JSON.
 type stream struct {
 	conn  net.Conn
 	r     *bufio.Reader
 	count *Counter
 	heard atomic.Int64 // unix nanoseconds of the last frame received
+	notes func(method string, params json.RawMessage)
 
 	mu sync.Mutex
 	w  *bufio.Writer
@@ -49,15 +61,40 @@
 	if err != nil {
 		return err
 	}
-	return s.writeFrame(body)
+	return s.writeFrame(0, body)
+}
+
+// writeNotification writes one notification.
+func (s *stream) writeNotification(method string, params any) error {
+	body, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	msg := make([]byte, 0, len(notifyHead)+len(method)+len(notifyMid)+len(body)+1)
+	msg = append(msg, notifyHead...)
+	msg = append(msg, method...)
+	msg = append(msg, notifyMid...)
+	msg = append(msg, body...)
+	return s.writeFrame(notifyMark, append(msg, '}'))
+}
+
+// takeNotification takes apart what writeNotification wrote.
+func (s *stream) takeNotification(body []byte) error {
+	rest, ok := bytes.CutPrefix(body, []byte(notifyHead))
+	method, params, found := bytes.Cut(rest, []byte(notifyMid))
+	if !ok || !found || !bytes.HasSuffix(params, []byte{'}'}) {
+		return errNotification
+	}
+	s.notes(string(method), json.RawMessage(params[:len(params)-1]))
+	return nil
 }
 
-func (s *stream) writeFrame(body []byte) error {
+func (s *stream) writeFrame(mark uint32, body []byte) error {
 	if len(body) > MaxFrame {
 		return fmt.Errorf("message of %d bytes; at most %d are sent", len(body), MaxFrame)
 	}
 	var head [frameHeader]byte
-	binary.BigEndian.PutUint32(head[:], uint32(len(body)))
+	binary.BigEndian.PutUint32(head[:], uint32(len(body))|mark)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -73,31 +110,41 @@
 	return s.w.Flush()
 }
 
-// ReadObject reads the next message.
+// ReadObject reads the next message that is not a notification; those are
+// handled on the way, in the order of arrival.
 func (s *stream) ReadObject(v any) error {
-	body, err := s.readFrame(MaxFrame)
-	if err != nil {
-		return err
+	for {
+		body, note, err := s.readFrame(MaxFrame)
+		if err != nil {
+			return err
+		}
+		if !note {
+			return json.Unmarshal(body, v)
+		}
+		if err := s.takeNotification(body); err != nil {
+			return err
+		}
 	}
-	return json.Unmarshal(body, v)
 }
 
-func (s *stream) readFrame(limit int) ([]byte, error) {
+// readFrame reads one frame and tells whether it is marked as a notification.
+func (s *stream) readFrame(limit int) (body []byte, note bool, err error) {
 	var head [frameHeader]byte
 	if _, err := io.ReadFull(s.r, head[:]); err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	n := int(binary.BigEndian.Uint32(head[:]))
+	length := binary.BigEndian.Uint32(head[:])
+	n := int(length &^ notifyMark)
 	if n > limit {
-		return nil, fmt.Errorf("message of %d bytes announced; at most %d are read", n, limit)
+		return nil, false, fmt.Errorf("message of %d bytes announced; at most %d are read", n, limit)
 	}
-	body := make([]byte, n)
+	body = make([]byte, n)
 	if _, err := io.ReadFull(s.r, body); err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	s.count.In.Add(int64(n + frameHeader))
 	s.heard.Store(time.Now().UnixNano())
-	return body, nil
+	return body, length&notifyMark != 0, nil
 }
 
 // Close closes the connection.
--- a/internal/adapter/rpc/rpc.go
+++ b/internal/adapter/rpc/rpc.go
@@ -37,7 +37,7 @@
 // codeFailed is the JSON-RPC error code of a call that the other side refused.
 const codeFailed = -32000
 
-// Handle implements jsonrpc2.Handler.
+// Handle implements jsonrpc2.Handler. Only calls come here.
 func (c *Conn) Handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	// The library reads the first message before its constructor returns.
 	<-c.ready
@@ -45,12 +45,6 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	if req.Notif {
-		// In order of arrival: parts of an answer and changes of the state
-		// build on each other.
-		_, _ = c.handle(ctx, c, req.Method, params)
-		return
-	}
 	go func() {
 		res, err := c.handle(ctx, c, req.Method, params)
 		if err != nil {
@@ -68,7 +62,14 @@
 
 // Notify sends a notification.
 func (c *Conn) Notify(method string, params any) error {
-	return c.rpc.Notify(context.Background(), method, params)
+	return c.stream.writeNotification(method, params)
+}
+
+// noted handles a notification, before anything that arrived after it: parts of
+// an answer and changes of the state build on each other.
+func (c *Conn) noted(method string, params json.RawMessage) {
+	<-c.ready
+	_, _ = c.handle(context.Background(), c, method, params)
 }
 
 // Close closes the connection.
@@ -92,6 +93,7 @@
 
 func start(ctx context.Context, s *stream, h Handler) *Conn {
 	c := &Conn{stream: s, handle: h, ready: make(chan struct{})}
+	s.notes = c.noted
 	c.rpc = jsonrpc2.NewConn(ctx, s, c, jsonrpc2.SetLogger(silent{}))
 	close(c.ready)
 	return c
--- /dev/null
+++ b/internal/app/dev/bench_test.go
@@ -0,0 +1,94 @@
+package dev
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cassiapass/cassiapass/internal/app/agent"
+)
+
+// benchSystem is a system with one entry and a warm model.
+func benchSystem(b *testing.B, token time.Duration) *System {
+	b.Helper()
+	cfg := DefaultConfig(b.TempDir(), zerolog.Nop())
+	cfg.Entries, cfg.FirstToken, cfg.TokenEvery = 1, 0, token
+	cfg.TuneAgent = func(a *agent.Config) { a.Slots, a.MaxQueue = 8192, 8192 }
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	s, err := Start(ctx, cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { s.Stop(context.Background()) })
+	if err := s.SubmitSamples(ctx); err != nil {
+		b.Fatal(err)
+	}
+	body := prompt("summary", 0, 1)
+	if err := whole(body, ask(s.api(0), KeyEast, chat, body), 1); err != nil {
+		b.Fatal(err)
+	}
+	return s
+}
+
+func post1(b *testing.B, addr, body string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+chat, strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+KeyEast)
+	req.Header.Set("X-Request-Id", "direct")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != http.StatusOK {
+		b.Fatal(err, res.Status)
+	}
+	res.Body.Close()
+}
+
+// BenchmarkWarm compares a warm request to the engine with one through entry
+// and agent.
+func BenchmarkWarm(b *testing.B) {
+	s := benchSystem(b, 0)
+	for _, c := range []struct{ name, addr, model string }{
+		{"engine", s.Agents[0].Back.Addr(), "summary@1"}, {"through entry and agent", s.api(0), "summary"},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			body := prompt(c.model, 1, 1)
+			var took []float64
+			b.ReportAllocs()
+			for b.Loop() {
+				begin := time.Now()
+				post1(b, c.addr, body)
+				took = append(took, float64(time.Since(begin).Nanoseconds())/1e3)
+			}
+			slices.Sort(took)
+			b.ReportMetric(took[len(took)/2], "p50-us")
+			b.ReportMetric(took[len(took)*99/100], "p99-us")
+		})
+	}
+}
+
+// BenchmarkTokens streams many answers at once through entry and agent.
+func BenchmarkTokens(b *testing.B) {
+	s := benchSystem(b, 5*time.Millisecond)
+	const streams, tokens = 200, 100
+	body := prompt("summary", 1, tokens)
+	for b.Loop() {
+		var wg sync.WaitGroup
+		for range streams {
+			wg.Go(func() { post1(b, s.api(0), body) })
+		}
+		wg.Wait()
+	}
+	b.ReportMetric(float64(b.N*streams*tokens)/b.Elapsed().Seconds(), "tokens/s")
+}
