Member changes wait for a member that is catching up; failover measured

Cause: a trial with separate processes promoted members right after adding them, was refused ('does not hold the log yet') and went on with one voter; killing it left no quorum, and cold starts were refused as not run. The refusal was right, the operator's command should wait.

Change: cassiapassctl member asks again until its timeout while the last member is behind. Benchmarks for leader loss and for a silent connection.

--- a/internal/app/ctl/commands.go
+++ b/internal/app/ctl/commands.go
@@ -453,13 +453,30 @@
 	if !x.Remove && !x.Transfer && p.Member.Addr == "" {
 		return fail(ExitUsage, "--address is required to add a host")
 	}
-	var res wire.MemberResult
-	if err := x.cli.call(http.MethodPost, "/v1/members", p, &res); err != nil {
+	res, err := x.change(p)
+	if err != nil {
 		return err
 	}
 	return x.cli.print(res, func() { fmt.Fprintln(x.cli.out, "done") })
 }
 
+const behindPause = 200 * time.Millisecond
+
+// change asks for the change again while the member that was added last is
+// still catching up: that takes a second or two and needs no operator.
+func (x *memberCmd) change(p wire.MemberParams) (wire.MemberResult, error) {
+	var res wire.MemberResult
+	deadline := time.Now().Add(x.cli.opts.Timeout)
+	for {
+		err := x.cli.call(http.MethodPost, "/v1/members", p, &res)
+		behind := err != nil && (strings.Contains(err.Error(), consensus.ErrMemberBehind.Error()) || strings.Contains(err.Error(), consensus.ErrChangePending.Error()))
+		if !behind || time.Now().Add(behindPause).After(deadline) {
+			return res, err
+		}
+		time.Sleep(behindPause)
+	}
+}
+
 // address finds the address of a member that is known already.
 func (x *memberCmd) address(id consensus.NodeID) (string, error) {
 	var s wire.ControlStatus
--- a/internal/app/dev/bench_test.go
+++ b/internal/app/dev/bench_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cassiapass/cassiapass/internal/app/agent"
+	"github.com/cassiapass/cassiapass/internal/core/state"
 )
 
 // benchSystem is a system with one entry and a warm model.
@@ -92,3 +93,91 @@
 	}
 	b.ReportMetric(float64(b.N*streams*tokens)/b.Elapsed().Seconds(), "tokens/s")
 }
+
+// BenchmarkLeaderLoss measures the time from the leader's death to the next
+// decided command, with three control hosts.
+func BenchmarkLeaderLoss(b *testing.B) {
+	var took []float64
+	for b.Loop() {
+		b.StopTimer()
+		cfg := DefaultConfig(b.TempDir(), zerolog.Nop())
+		cfg.Controls, cfg.Entries, cfg.Plains = 3, 1, nil
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		s, err := Start(ctx, cfg)
+		if err != nil {
+			b.Fatal(err)
+		}
+		lead := s.Leader()
+		b.StartTimer()
+		begin := time.Now()
+		lead.Kill()
+		lead.Control = nil
+		for i := 0; ; i++ {
+			res, err := s.Propose(ctx, state.Command{Submit: &state.Submit{Request: "after", Raw: Samples()[0]}})
+			if err == nil && res.Code == state.OK {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		took = append(took, float64(time.Since(begin).Milliseconds()))
+		b.StopTimer()
+		s.Stop(ctx)
+		cancel()
+		b.StartTimer()
+	}
+	slices.Sort(took)
+	b.ReportMetric(took[len(took)/2], "p50-ms")
+	b.ReportMetric(took[len(took)-1], "max-ms")
+}
+
+// BenchmarkSilentConnection measures how long a stream stands still when its
+// connection falls silent for good.
+func BenchmarkSilentConnection(b *testing.B) {
+	cfg := DefaultConfig(b.TempDir(), zerolog.Nop())
+	cfg.Relayed, cfg.Entries, cfg.TokenEvery = true, 1, 10*time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), 10*patience)
+	defer cancel()
+	s, err := Start(ctx, cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Stop(ctx)
+	if err := s.SubmitSamples(ctx); err != nil {
+		b.Fatal(err)
+	}
+	post1(b, s.api(0), prompt("summary", 0, 1))
+	var gaps []float64
+	for b.Loop() {
+		gaps = append(gaps, longestGap(b, s))
+	}
+	slices.Sort(gaps)
+	b.ReportMetric(gaps[len(gaps)/2], "p50-ms")
+	b.ReportMetric(gaps[len(gaps)-1], "max-ms")
+}
+
+// longestGap streams an answer whose connection is silenced on the way and
+// returns the longest pause between two reads, in milliseconds.
+func longestGap(b *testing.B, s *System) float64 {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.api(0)+chat, strings.NewReader(prompt("summary", 1, 100)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+KeyEast)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer res.Body.Close()
+	time.AfterFunc(300*time.Millisecond, s.Agents[0].Relay.SilenceOpen)
+	buf := make([]byte, 4096)
+	last, longest := time.Now(), time.Duration(0)
+	for {
+		_, err := res.Body.Read(buf)
+		now := time.Now()
+		longest = max(longest, now.Sub(last))
+		last = now
+		if err != nil {
+			return float64(longest.Milliseconds())
+		}
+	}
+}
