A forgotten endpoint registers again

Cause: found by reading. Symptom: an endpoint serves nothing although host and agent are well. Sequence: the agent is cut off from control while the platform's list lacks its host; lease and list agree, control forgets it; the network heals. Cause: agents registered only at their start.

Change: an agent that sees its registration gone registers again.

Conclusion: a long cut heals without an operator.

--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -94,6 +94,7 @@
 	barred     map[ident.Attempt]time.Time
 	decided    map[ident.Index]bool // replicas known from control
 	registered bool
+	listed     bool // the registration was seen in the view
 	leaving    bool
 	used       map[ident.Index]time.Time
 	cached     map[ident.Target]placement.Source
@@ -247,9 +248,27 @@
 				a.ledger.Forget(now, id)
 			}
 		}
+		_, known := v.Endpoint(a.cfg.Host)
+		a.noticeForgotten(known)
 	})
 }
 
+// noticeForgotten registers again when control has forgotten this endpoint,
+// which happens when it was cut off for long and the platform's list lacked it.
+// Without this the endpoint would serve nothing until its process is restarted.
+func (a *Agent) noticeForgotten(known bool) {
+	if known {
+		a.listed = true
+		return
+	}
+	if !a.listed || !a.registered || a.leaving {
+		return
+	}
+	a.listed, a.registered = false, false
+	a.cfg.Log.Warn().Msg("forgotten")
+	a.goDo(a.register)
+}
+
 // tickLoop carries out what time brings.
 func (a *Agent) tickLoop() {
 	t := time.NewTicker(tickEvery)
--- a/internal/app/dev/control_test.go
+++ b/internal/app/dev/control_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
+	"github.com/cassiapass/cassiapass/internal/app/agent"
 	"github.com/cassiapass/cassiapass/internal/app/entry"
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
@@ -412,3 +413,37 @@
 		return !s.Controls[0].Knows(victim.Cfg.Host)
 	})
 }
+
+// Symptom: an endpoint serves nothing although its host and agent are well.
+// Sequence: the agent is cut off from control for longer than the platform's
+// list lacks its host; control forgets it; the network heals.
+// Cause: an agent that registers only at its start stays forgotten.
+func TestForgottenEndpointRegistersAgain(t *testing.T) {
+	is := is.New(t)
+	var relay *fake.Relay
+	s := start(t, func(c *Config) {
+		c.Leases.GoneWait = 500 * time.Millisecond
+		c.TuneAgent = func(a *agent.Config) {
+			if a.Host != "kyushu-gpu-1" {
+				return
+			}
+			r, err := fake.NewRelay(a.Control[0])
+			if err != nil {
+				panic(err)
+			}
+			relay = r
+			a.Control = []string{r.Addr()}
+		}
+	})
+	defer relay.Close()
+	warm(t, s)
+	s.Hosts.Remove("kyushu-gpu-1")
+	relay.SetDeaf(true)
+	eventually(t, "it is forgotten", func() bool { return !s.Controls[0].Knows("kyushu-gpu-1") })
+	s.Hosts.Set("kyushu-gpu-1", port.HostLive)
+	relay.SetDeaf(false)
+	eventually(t, "it is known again", func() bool { return s.Controls[0].Knows("kyushu-gpu-1") })
+	body := prompt("summary", 9, 3)
+	is.NoErr(whole(body, ask(s.api(0), KeyEast, chat, body), 3))
+	is.Equal(s.agent("kyushu-gpu-1").Engine.Facts().Overcommit, 0)
+}
