--- a/internal/adapter/rpc/rpc.go
+++ b/internal/adapter/rpc/rpc.go
@@ -34,8 +34,23 @@
 	ready  chan struct{} // closed when rpc is set
 }
 
-// codeFailed is the JSON-RPC error code of a call that the other side refused.
-const codeFailed = -32000
+// JSON-RPC error codes of calls that the other side refused.
+const (
+	codeFailed    = -32000
+	codeNotLeader = -32001
+)
+
+// ErrNotLeader is returned by handlers, and by Call on the other side, for a
+// call that only the leader of a control group carries out. It had no effect.
+var ErrNotLeader = errors.New("the control host does not lead")
+
+// codeOf returns the code under which an error travels.
+func codeOf(err error) int64 {
+	if errors.Is(err, ErrNotLeader) {
+		return codeNotLeader
+	}
+	return codeFailed
+}
 
 // Handle implements jsonrpc2.Handler. Only calls come here.
 func (c *Conn) Handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
@@ -48,7 +63,7 @@
 	go func() {
 		res, err := c.handle(ctx, c, req.Method, params)
 		if err != nil {
-			_ = c.rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: codeFailed, Message: err.Error()})
+			_ = c.rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: codeOf(err), Message: err.Error()})
 			return
 		}
 		_ = c.rpc.Reply(ctx, req.ID, res)
@@ -57,7 +72,12 @@
 
 // Call sends a call and waits for its result.
 func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
-	return c.rpc.Call(ctx, method, params, result)
+	err := c.rpc.Call(ctx, method, params, result)
+	var refused *jsonrpc2.Error
+	if errors.As(err, &refused) && refused.Code == codeNotLeader {
+		return errors.Join(ErrNotLeader, err)
+	}
+	return err
 }
 
 // Notify sends a notification.
--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -265,7 +265,7 @@
 	}
 	var res state.Result
 	err := c.peers.call(ctx, leader, wire.MethodPropose, wire.ProposeParams{Command: cmd}, &res)
-	if rpc.Refused(err) && isNotLeader(err) {
+	if errors.Is(err, rpc.ErrNotLeader) {
 		return res, consensus.ErrNotLeader
 	}
 	if err != nil && !rpc.Refused(err) && ctx.Err() == nil {
@@ -275,10 +275,6 @@
 	return res, err
 }
 
-func isNotLeader(err error) bool {
-	return err != nil && (contains(err.Error(), consensus.ErrNotLeader.Error()) || contains(err.Error(), consensus.ErrTransferring.Error()))
-}
-
 // proposeHere decides a command on this host, which must lead.
 func (c *Control) proposeHere(ctx context.Context, cmd state.Command) (state.Result, error) {
 	ch := make(chan proposalResult, 1)
--- a/internal/app/control/handlers.go
+++ b/internal/app/control/handlers.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
@@ -14,8 +14,6 @@
 	"github.com/cassiapass/cassiapass/internal/wire"
 )
 
-func contains(s, part string) bool { return strings.Contains(s, part) }
-
 // handle answers what other processes of the system send.
 func (c *Control) handle(ctx context.Context, conn *rpc.Conn, method string, raw json.RawMessage) (any, error) {
 	switch method {
@@ -69,7 +67,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	return c.proposeHere(ctx, p.Command)
+	res, err := c.proposeHere(ctx, p.Command)
+	if errors.Is(err, consensus.ErrNotLeader) || errors.Is(err, consensus.ErrTransferring) {
+		return res, rpc.ErrNotLeader
+	}
+	return res, err
 }
 
 func (c *Control) onSubscribe(conn *rpc.Conn, raw json.RawMessage) (any, error) {
@@ -193,7 +195,8 @@
 	select {
 	case r := <-ch:
 		if r.err != nil {
-			return wire.MemberResult{Reason: r.err.Error()}, nil
+			behind := errors.Is(r.err, consensus.ErrMemberBehind) || errors.Is(r.err, consensus.ErrChangePending)
+			return wire.MemberResult{Reason: r.err.Error(), Behind: behind}, nil
 		}
 		return wire.MemberResult{Done: true}, nil
 	case <-ctx.Done():
--- a/internal/app/control/http.go
+++ b/internal/app/control/http.go
@@ -40,6 +40,10 @@
 	Events   []state.AuditEvent `json:"events"`
 }
 
+// CodeBehind is the code of a membership change that has to wait until the
+// member changed last has caught up.
+const CodeBehind = "behind"
+
 // Failure is the body of every error answer.
 type Failure struct {
 	Code    string        `json:"code"`
@@ -272,7 +276,11 @@
 	}
 	c.cfg.Log.Info().Str("by", operator(x)).Uint64("member", uint64(p.Member.ID)).Bool("voter", p.Member.Voter).Bool("remove", p.Remove).Bool("done", res.Done).Str("reason", res.Reason).Msg("membership_change")
 	if !res.Done {
-		return x.JSON(http.StatusConflict, Failure{Code: "refused", Message: res.Reason})
+		code := "refused"
+		if res.Behind {
+			code = CodeBehind
+		}
+		return x.JSON(http.StatusConflict, Failure{Code: code, Message: res.Reason})
 	}
 	return x.JSON(http.StatusOK, res)
 }
--- a/internal/app/ctl/client.go
+++ b/internal/app/ctl/client.go
@@ -129,7 +129,7 @@
 		if f.Present != nil {
 			text += fmt.Sprintf("\nrevision %d in force:\n%s", f.Present.Revision, f.Present.Raw)
 		}
-		return fail(ExitConflict, "%s", text)
+		return &failure{code: ExitConflict, text: text, again: f.Code == control.CodeBehind}
 	case http.StatusNotFound:
 		return fail(ExitNotFound, "not found: %s", f.Message)
 	case http.StatusUnprocessableEntity, http.StatusBadRequest:
--- a/internal/app/ctl/commands.go
+++ b/internal/app/ctl/commands.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -469,8 +470,8 @@
 	deadline := time.Now().Add(x.cli.opts.Timeout)
 	for {
 		err := x.cli.call(http.MethodPost, "/v1/members", p, &res)
-		behind := err != nil && (strings.Contains(err.Error(), consensus.ErrMemberBehind.Error()) || strings.Contains(err.Error(), consensus.ErrChangePending.Error()))
-		if !behind || time.Now().Add(behindPause).After(deadline) {
+		var f *failure
+		if !errors.As(err, &f) || !f.again || time.Now().Add(behindPause).After(deadline) {
 			return res, err
 		}
 		time.Sleep(behindPause)
--- a/internal/app/ctl/ctl.go
+++ b/internal/app/ctl/ctl.go
@@ -45,15 +45,16 @@
 
 // failure ends a command with an exit code.
 type failure struct {
-	code int
-	text string
+	code  int
+	text  string
+	again bool // the same request will be carried out a little later
 }
 
 // Error returns what is printed.
 func (f *failure) Error() string { return f.text }
 
 func fail(code int, format string, args ...any) error {
-	return &failure{code, fmt.Sprintf(format, args...)}
+	return &failure{code: code, text: fmt.Sprintf(format, args...)}
 }
 
 // Main runs one command and returns its exit code.
--- a/internal/app/dev/control_test.go
+++ b/internal/app/dev/control_test.go
@@ -447,3 +447,29 @@
 	is.NoErr(whole(body, ask(s.api(0), KeyEast, chat, body), 3))
 	is.Equal(s.agent("kyushu-gpu-1").Engine.Facts().Overcommit, 0)
 }
+
+// An observer carries subscriptions, demands, claims and operators' changes
+// although it has no vote.
+func TestObserverServesSubscribers(t *testing.T) {
+	is := is.New(t)
+	s := start(t, nil)
+	ctx := within(t)
+	obs := &ControlProc{Dir: t.TempDir()}
+	s.Controls = append(s.Controls, obs)
+	is.NoErr(s.OpenControl(1))
+	is.NoErr(s.Join(ctx, obs, false))
+	s.Entries[1].API.Close()
+	s.Entries[1].Close()
+	s.cfg.TuneEntry = func(e *entry.Config) { e.Control = []string{obs.Addr()} }
+	is.NoErr(s.StartEntry(1))
+	eventually(t, "ready through the observer", s.Entries[1].Ready)
+	body := prompt("classify", 1, 2)
+	is.NoErr(whole(body, ask(s.api(1), KeyEast, chat, body), 2))
+	r := ask(s.api(1), KeyOffice, "/services/receipts/renewals", `{"o":1}`, entry.HeaderKey, "observer")
+	is.Equal(r.outcome, "answered")
+	base := s.revision(t, "outage-reports")
+	res, err := obs.Propose(ctx, state.Command{Submit: &state.Submit{Request: "through-observer", Base: base, Raw: revised(1)}})
+	is.NoErr(err)
+	is.Equal(res.Code, state.OK)
+	is.True(obs.Status().Role != consensus.Leader)
+}
--- a/internal/app/dev/random_test.go
+++ b/internal/app/dev/random_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -60,7 +62,11 @@
 // Cause looked for: what no focused test thought of. Every answer is compared
 // with what engine and service really ran.
 func TestRandomFaultsKeepEveryPromise(t *testing.T) {
-	for seed := range 2 {
+	n, err := strconv.Atoi(os.Getenv("CASSIAPASS_FAULT_SEEDS"))
+	if err != nil {
+		n = 2 // in CI; more on request
+	}
+	for seed := range n {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			randomFaults(t, uint64(seed))
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -168,7 +168,7 @@
 	Claim       *state.ClaimKey `json:"claim,omitempty"`
 	StartWithin time.Duration   `json:"startWithin"`
 	EndWithin   time.Duration   `json:"endWithin"`
-	// NewOnly is the incarnation that the first try of this attempt was sent
+	// SentTo is the incarnation that the first try of this attempt was sent
 	// to, 0 on the first try. A process of another incarnation cannot know
 	// whether its predecessor ran the attempt and must not start it.
 	SentTo ident.Incarnation `json:"sentTo,omitempty"`
@@ -249,6 +249,7 @@
 type MemberResult struct {
 	Done   bool   `json:"done"`
 	Reason string `json:"reason,omitempty"`
+	Behind bool   `json:"behind,omitempty"` // the member changed last must catch up first; ask again
 }
 
 // SubscriberStatus is one subscriber as a control host sees it.
