--- /dev/null
+++ b/internal/adapter/opshttp/opshttp.go
@@ -0,0 +1,48 @@
+// Package opshttp is what every role shows operators: health, readiness and
+// metrics.
+package opshttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	vm "github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+
+	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
+)
+
+const readyTimeout = time.Second
+
+// New returns an HTTP interface with /healthz, /readyz and /metrics. ready
+// returns why the process is not ready, or nil.
+func New(ready func(context.Context) error, set *vm.Set) *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	Health(e, ready)
+	e.GET("/metrics", func(x echo.Context) error {
+		set.WritePrometheus(x.Response())
+		return nil
+	})
+	return e
+}
+
+// Health adds /healthz and /readyz to an HTTP interface.
+func Health(e *echo.Echo, ready func(context.Context) error) {
+	e.GET("/healthz", func(x echo.Context) error { return x.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", func(x echo.Context) error {
+		ctx, cancel := context.WithTimeout(x.Request().Context(), readyTimeout)
+		defer cancel()
+		if err := ready(ctx); err != nil {
+			return x.String(http.StatusServiceUnavailable, err.Error()+"\n")
+		}
+		return x.String(http.StatusOK, "ready\n")
+	})
+}
+
+// CountBytes adds the bytes exchanged with the system's own processes.
+func CountBytes(s *vm.Set, c *rpc.Counter) {
+	s.NewGauge("cassiapass_rpc_received_bytes_total", func() float64 { return float64(c.In.Load()) })
+	s.NewGauge("cassiapass_rpc_sent_bytes_total", func() float64 { return float64(c.Out.Load()) })
+}
--- a/internal/app/agent/http.go
+++ b/internal/app/agent/http.go
@@ -1,11 +1,14 @@
 package agent
 
 import (
+	"context"
+	"errors"
 	"net/http"
 
 	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/opshttp"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/ledger"
 	"github.com/cassiapass/cassiapass/internal/core/routing"
@@ -44,8 +47,7 @@
 	s.NewGauge("cassiapass_agent_memory_limit_bytes", func() float64 { return float64(a.cfg.Memory) })
 	s.NewGauge("cassiapass_agent_running", locked(func() float64 { return float64(a.queue.Running()) }))
 	s.NewGauge("cassiapass_agent_waiting", locked(func() float64 { return float64(a.queue.Waiting()) }))
-	s.NewGauge("cassiapass_rpc_received_bytes_total", func() float64 { return float64(a.count.In.Load()) })
-	s.NewGauge("cassiapass_rpc_sent_bytes_total", func() float64 { return float64(a.count.Out.Load()) })
+	opshttp.CountBytes(s, a.count)
 	return m
 }
 
@@ -57,6 +59,8 @@
 	m.set.GetOrCreateCounter(`cassiapass_agent_refused_total{reason="` + reason + `"}`).Inc()
 }
 
+var errNotReady = errors.New("not registered, not current, or leaving")
+
 // DebugState is what /debug/state shows.
 type DebugState struct {
 	Host     ident.HostID  `json:"host"`
@@ -91,19 +95,13 @@
 
 // API returns the operators' HTTP interface.
 func (a *Agent) API() *echo.Echo {
-	e := echo.New()
-	e.HideBanner, e.HidePort = true, true
-	e.GET("/healthz", func(x echo.Context) error { return x.String(http.StatusOK, "ok\n") })
-	e.GET("/readyz", func(x echo.Context) error {
+	ready := func(context.Context) error {
 		if !a.Ready() {
-			return x.String(http.StatusServiceUnavailable, "not ready\n")
+			return errNotReady
 		}
-		return x.String(http.StatusOK, "ready\n")
-	})
-	e.GET("/metrics", func(x echo.Context) error {
-		a.met.set.WritePrometheus(x.Response())
 		return nil
-	})
+	}
+	e := opshttp.New(ready, a.met.set)
 	e.GET("/debug/state", func(x echo.Context) error { return x.JSON(http.StatusOK, a.Debug()) })
 	return e
 }
--- a/internal/app/control/http.go
+++ b/internal/app/control/http.go
@@ -15,6 +15,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/opshttp"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/record"
 	"github.com/cassiapass/cassiapass/internal/core/state"
@@ -54,15 +55,8 @@
 // API returns the operators' HTTP interface. token authenticates operators; an
 // empty one lets everybody in and must be asked for by a flag that says so.
 func (c *Control) API(token string) *echo.Echo {
-	e := echo.New()
-	e.HideBanner, e.HidePort = true, true
+	e := opshttp.New(c.Ready, c.met.set)
 	c.operatorRoutes(e.Group("/v1", authorize(token)))
-	e.GET("/healthz", func(x echo.Context) error { return x.String(http.StatusOK, "ok\n") })
-	e.GET("/readyz", c.httpReady)
-	e.GET("/metrics", func(x echo.Context) error {
-		c.met.set.WritePrometheus(x.Response())
-		return nil
-	})
 	e.GET("/debug/state", func(x echo.Context) error { return x.JSON(http.StatusOK, c.ControlStatus()) }, authorize(token))
 	return e
 }
@@ -92,15 +86,6 @@
 	}
 }
 
-func (c *Control) httpReady(x echo.Context) error {
-	ctx, cancel := context.WithTimeout(x.Request().Context(), time.Second)
-	defer cancel()
-	if err := c.Ready(ctx); err != nil {
-		return x.String(http.StatusServiceUnavailable, err.Error()+"\n")
-	}
-	return x.String(http.StatusOK, "ready\n")
-}
-
 // current runs f on a state that holds everything committed before the request.
 func (c *Control) current(x echo.Context, f func(*state.State)) error {
 	ctx, cancel := context.WithTimeout(x.Request().Context(), operatorTimeout)
--- a/internal/app/control/metrics.go
+++ b/internal/app/control/metrics.go
@@ -3,6 +3,7 @@
 import (
 	vm "github.com/VictoriaMetrics/metrics"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/opshttp"
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
 )
@@ -35,7 +36,6 @@
 	s.NewGauge("cassiapass_control_term", func() float64 { return float64(status().Term) })
 	s.NewGauge("cassiapass_control_commit_index", func() float64 { return float64(status().Commit) })
 	s.NewGauge("cassiapass_control_applied_index", func() float64 { return float64(status().Applied) })
-	s.NewGauge("cassiapass_rpc_received_bytes_total", func() float64 { return float64(count.In.Load()) })
-	s.NewGauge("cassiapass_rpc_sent_bytes_total", func() float64 { return float64(count.Out.Load()) })
+	opshttp.CountBytes(s, count)
 	return m
 }
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
+	"golang.org/x/net/netutil"
 
 	"github.com/cassiapass/cassiapass/internal/adapter/tlsconf"
 )
@@ -25,6 +26,7 @@
 	bodyTimeout   = 30 * time.Second // header and body together
 	idleTimeout   = 60 * time.Second
 	maxHeader     = 32 << 10
+	maxConns      = 16384 // per listener; more wait in the kernel's queue
 )
 
 // HTTP is one running HTTP listener.
@@ -39,6 +41,7 @@
 	if err != nil {
 		return nil, oops.With("addr", addr).Wrapf(err, "listen")
 	}
+	l = netutil.LimitListener(l, maxConns)
 	s := &HTTP{l: l, srv: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}}
 	if cert != "" {
 		c, err := tlsconf.Server(tlsconf.Files{Cert: cert, Key: key})
--- a/internal/app/entry/api.go
+++ b/internal/app/entry/api.go
@@ -14,6 +14,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/opshttp"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/record"
 	"github.com/cassiapass/cassiapass/internal/core/routing"
@@ -40,16 +41,17 @@
 	x.POST("/v1/completions", e.counted(e.completion))
 	x.GET("/v1/models", e.models)
 	x.Any("/services/:service/*", e.counted(e.plain))
-	x.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	x.GET("/readyz", e.readyz)
+	opshttp.Health(x, e.whyNotReady)
 	return x
 }
 
-func (e *Entry) readyz(c echo.Context) error {
+var errNotReady = errors.New("stopping, or not holding the configuration in force yet")
+
+func (e *Entry) whyNotReady(context.Context) error {
 	if !e.Ready() {
-		return c.String(http.StatusServiceUnavailable, "not ready\n")
+		return errNotReady
 	}
-	return c.String(http.StatusOK, "ready\n")
+	return nil
 }
 
 // handler ends a request in one outcome: a refusal, or nil for answered.
--- a/internal/app/entry/ops.go
+++ b/internal/app/entry/ops.go
@@ -9,6 +9,7 @@
 	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/opshttp"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/view"
 )
@@ -41,8 +42,7 @@
 	}
 	s.NewGauge("cassiapass_entry_waiting", func() float64 { return float64(m.waiting.Load()) })
 	s.NewGauge("cassiapass_entry_in_progress", func() float64 { return float64(e.accounts.inProgress()) })
-	s.NewGauge("cassiapass_rpc_received_bytes_total", func() float64 { return float64(e.count.In.Load()) })
-	s.NewGauge("cassiapass_rpc_sent_bytes_total", func() float64 { return float64(e.count.Out.Load()) })
+	opshttp.CountBytes(s, e.count)
 	return m
 }
 
@@ -115,14 +115,7 @@
 
 // Ops returns the operators' HTTP interface.
 func (e *Entry) Ops() *echo.Echo {
-	x := echo.New()
-	x.HideBanner, x.HidePort = true, true
-	x.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	x.GET("/readyz", e.readyz)
-	x.GET("/metrics", func(c echo.Context) error {
-		e.met.set.WritePrometheus(c.Response())
-		return nil
-	})
+	x := opshttp.New(e.whyNotReady, e.met.set)
 	x.GET("/debug/state", func(c echo.Context) error {
 		d := debugState{Host: e.cfg.Host, Ready: e.Ready(), Entries: e.follower.Entries(), InProgress: e.accounts.inProgress(), Waiting: e.met.waiting.Load()}
 		e.follower.Read(func(v *view.View) {
