A silent endpoint no longer holds up the requests of healthy ones

Cause: found by BenchmarkQuarterSilent. Symptom: with one of four endpoints silent, 33 of 600 requests got no answer within 60 s although three endpoints were idle. Sequence: the endpoint accepts connections and answers nothing; each request that picked it dialled while holding the link's lock and waited 5 s for the proof of the key; the others queued behind it, and each dialled anew. Ruled out: routing (attempts per request 0.98, so nothing was retried too often) and admission (the healthy engines were idle).

Change: requests share one dial of at most 1 s and wait for it within their own time; no lock is held during I/O; a repeatable request goes elsewhere after the first silence.

The new test failed before (101 s) and passes after.

--- a/internal/adapter/rpc/auth.go
+++ b/internal/adapter/rpc/auth.go
@@ -42,8 +42,8 @@
 }
 
 // authenticateClient proves the key to a server and checks the server's proof.
-func authenticateClient(s *stream, key []byte) error {
-	return withDeadline(s.conn, func() error {
+func authenticateClient(s *stream, key []byte, within time.Duration) error {
+	return withDeadline(s.conn, within, func() error {
 		mine := newNonce()
 		if err := writeHello(s, hello{Nonce: mine}); err != nil {
 			return err
@@ -61,7 +61,7 @@
 
 // authenticateServer is the other side of authenticateClient.
 func authenticateServer(s *stream, key []byte) error {
-	return withDeadline(s.conn, func() error {
+	return withDeadline(s.conn, handshakeTimeout, func() error {
 		first, err := readHello(s)
 		if err != nil {
 			return err
@@ -81,8 +81,8 @@
 	})
 }
 
-func withDeadline(c net.Conn, f func() error) error {
-	if err := c.SetReadDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+func withDeadline(c net.Conn, within time.Duration, f func() error) error {
+	if err := c.SetReadDeadline(time.Now().Add(within)); err != nil {
 		return err
 	}
 	if err := f(); err != nil {
--- a/internal/adapter/rpc/rpc.go
+++ b/internal/adapter/rpc/rpc.go
@@ -139,7 +139,11 @@
 	}
 	s := newStream(nc, count)
 	if len(sec.Key) > 0 {
-		if err := authenticateClient(s, sec.Key); err != nil {
+		within := handshakeTimeout
+		if by, ok := ctx.Deadline(); ok {
+			within = min(within, time.Until(by))
+		}
+		if err := authenticateClient(s, sec.Key, within); err != nil {
 			nc.Close()
 			return nil, oops.With("addr", addr).Wrapf(err, "authenticate")
 		}
--- a/internal/app/dev/bench_test.go
+++ b/internal/app/dev/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -13,6 +14,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cassiapass/cassiapass/internal/app/agent"
+	"github.com/cassiapass/cassiapass/internal/app/load"
+	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/record"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 )
 
@@ -181,3 +185,59 @@
 		}
 	}
 }
+
+// BenchmarkQuarterSilent sends a steady load while one of four endpoints, all
+// with a replica, falls silent for good, and reports what that does to it.
+func BenchmarkQuarterSilent(b *testing.B) {
+	cfg := DefaultConfig(b.TempDir(), zerolog.Nop())
+	cfg.Relayed, cfg.Plains, cfg.Engines = true, nil, nil
+	cfg.FirstToken, cfg.TokenEvery = 5*time.Millisecond, 5*time.Millisecond
+	for i := range 4 {
+		cfg.Engines = append(cfg.Engines, EngineSpec{Host: ident.HostID(fmt.Sprint("gpu-", i)), Zone: ident.Zone(fmt.Sprint("zone-", i)), Place: "kyushu", Memory: 64e9, HonoursFence: true})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	s, err := Start(ctx, cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Stop(context.Background())
+	four := strings.Replace(sampleKyushu(), `{"min": 0, "max": 2}`, `{"min": 4, "max": 4}`, 1)
+	if _, err := s.Submit(ctx, "four", 0, record.Text(four)); err != nil {
+		b.Fatal(err)
+	}
+	for {
+		held := 0
+		for _, a := range s.Agents {
+			for _, t := range a.Engine.Facts().Held {
+				if t.Model == "summary" {
+					held++
+				}
+			}
+		}
+		if held == 4 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	for b.Loop() {
+		time.AfterFunc(time.Second, func() { s.Agents[0].Relay.SetDeaf(true) })
+		var out strings.Builder
+		args := []string{"--quiet", "--rate", "100", "--duration", "6s", "--url", "http://" + s.api(0), "--url", "http://" + s.api(1)}
+		if _, err := load.Main(args, func(string) string { return KeyEast }, &out, io.Discard); err != nil {
+			b.Fatal(err)
+		}
+		b.Log("\n" + out.String())
+	}
+	attempts := 0.0
+	for i := range s.Entries {
+		for _, l := range strings.Split(ask(s.Entries[i].Ops.Addr(), "", "/metrics", "").body, "\n") {
+			var n float64
+			if k, _ := fmt.Sscanf(l, "cassiapass_entry_attempts_total %g", &n); k == 1 {
+				attempts += n
+			}
+		}
+	}
+	b.ReportMetric(attempts/600, "attempts/request")
+}
--- a/internal/app/dev/requests_test.go
+++ b/internal/app/dev/requests_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/app/agent"
 	"github.com/cassiapass/cassiapass/internal/app/entry"
+	"github.com/cassiapass/cassiapass/internal/core/record"
 	"github.com/cassiapass/cassiapass/internal/fake"
 )
 
@@ -356,3 +357,41 @@
 	}
 	return nil
 }
+
+// Symptom: requests wait for minutes while a healthy endpoint is idle.
+// Sequence: one of two endpoints accepts connections and answers nothing; a
+// burst of requests comes.
+// Cause: each request dialled the silent endpoint in turn, waiting for the one
+// before it to time out.
+func TestBurstIsNotHeldUpByASilentEndpoint(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(c *Config) {
+		c.Relayed = true
+		c.Engines[0].Memory = 64e9
+		second := c.Engines[0]
+		second.Host = "kyushu-gpu-2"
+		c.Engines = append(c.Engines, second)
+	})
+	base := s.revision(t, "outage-reports")
+	two := strings.Replace(sampleKyushu(), `{"min": 0, "max": 2}`, `{"min": 2, "max": 2}`, 1)
+	_, err := s.Submit(within(t), "two", base, record.Text(two))
+	is.NoErr(err)
+	first, second := s.agent("kyushu-gpu-1"), s.agent("kyushu-gpu-2")
+	eventually(t, "both hold all models", func() bool {
+		return len(first.Engine.Facts().Held) == 3 && len(second.Engine.Facts().Held) == 3
+	})
+	first.Relay.SetDeaf(true)
+	const callers = 40
+	errs := make([]error, callers)
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			body := prompt("summary", i, 3)
+			errs[i] = whole(body, ask(s.api(i%2), KeyEast, chat, body), 3)
+		})
+	}
+	wg.Wait()
+	for _, err := range errs {
+		is.NoErr(err)
+	}
+}
--- a/internal/app/entry/attempt.go
+++ b/internal/app/entry/attempt.go
@@ -109,6 +109,9 @@
 		if !rpc.Refused(err) {
 			conn.Close() // silent or broken: the next try dials anew
 		}
+		if f.job.repeatable {
+			break // another endpoint answers sooner than this one is settled
+		}
 		e.met.resubmits.Inc()
 	}
 	e.withTable(func() { e.table.Failed(time.Now(), f.ep.Host) })
--- a/internal/app/entry/pool.go
+++ b/internal/app/entry/pool.go
@@ -15,6 +15,7 @@
 	idleClose  = 30 * time.Second
 	probeAfter = 500 * time.Millisecond // a connection with runs that is silent this long is probed
 	probeWait  = time.Second            // and taken for dead after this without an answer
+	dialWait   = time.Second            // to connect and prove the key
 )
 
 // pool holds one connection per agent address, dialled when it is needed.
@@ -34,10 +35,18 @@
 
 // link is the connection to one agent, if any, and how many runs use it.
 type link struct {
-	mu    sync.Mutex // held while dialling, so that one dial serves all
-	conn  *rpc.Conn
-	users int
-	used  time.Time
+	mu      sync.Mutex // never held during I/O
+	conn    *rpc.Conn
+	dialing *dial
+	users   int
+	used    time.Time
+}
+
+// dial is an attempt to connect that every request for the same agent shares.
+type dial struct {
+	done chan struct{}
+	conn *rpc.Conn
+	err  error
 }
 
 func newPool(sec rpc.Security, count *rpc.Counter, onPart func(string, json.RawMessage)) *pool {
@@ -71,7 +80,23 @@
 // get returns an open connection to addr, dialling if there is none. An error
 // means that nothing was sent.
 func (p *pool) get(ctx context.Context, addr string) (*rpc.Conn, error) {
-	l := p.link(addr)
+	conn, d := p.open(p.link(addr), addr)
+	if conn != nil {
+		return conn, nil
+	}
+	// All wait for the same dial, each within its own time. One after the
+	// other, a burst of requests for an endpoint that accepts connections but
+	// answers nothing would wait for as many timeouts.
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// open returns the open connection, or the dial under way.
+func (p *pool) open(l *link, addr string) (*rpc.Conn, *dial) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.used = time.Now()
@@ -82,15 +107,27 @@
 			return l.conn, nil
 		}
 	}
-	conn, err := rpc.Dial(ctx, addr, p.sec, p.count, func(_ context.Context, _ *rpc.Conn, method string, raw json.RawMessage) (any, error) {
+	if l.dialing == nil {
+		l.dialing = &dial{done: make(chan struct{})}
+		go p.dial(l, l.dialing, addr)
+	}
+	return nil, l.dialing
+}
+
+func (p *pool) dial(l *link, d *dial, addr string) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialWait)
+	defer cancel()
+	d.conn, d.err = rpc.Dial(ctx, addr, p.sec, p.count, func(_ context.Context, _ *rpc.Conn, method string, raw json.RawMessage) (any, error) {
 		p.onPart(method, raw)
 		return nil, nil
 	})
-	if err != nil {
-		return nil, err
+	l.mu.Lock()
+	l.dialing = nil
+	if d.err == nil {
+		l.conn = d.conn
 	}
-	l.conn = conn
-	return conn, nil
+	l.mu.Unlock()
+	close(d.done)
 }
 
 // use counts runs on a connection: only those with runs are probed.
@@ -127,9 +164,7 @@
 }
 
 func (l *link) check(now time.Time) {
-	if !l.mu.TryLock() {
-		return
-	}
+	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == nil {
 		return
