--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -225,7 +225,7 @@
 		e.cached[o.Target] = placement.FromMemory
 	}
 	e.mu.Unlock()
-	e.answerOrder(w)
+	e.loseAnswer()
 }
 
 func (e *Engine) used() int64 {
@@ -236,8 +236,8 @@
 	return sum
 }
 
-// answerOrder answers, or loses the answer if a test asks for it.
-func (e *Engine) answerOrder(http.ResponseWriter) {
+// loseAnswer breaks the connection instead of answering if a test asks for it.
+func (e *Engine) loseAnswer() {
 	e.mu.Lock()
 	lost := e.faults.LostOrders > 0
 	if lost {
@@ -262,7 +262,7 @@
 	}
 	delete(e.held, o.Target)
 	e.mu.Unlock()
-	e.answerOrder(w)
+	e.loseAnswer()
 }
 
 func (e *Engine) list(w http.ResponseWriter, _ *http.Request) {
