One job per file in the command line; assert that a leaving agent takes nothing on

Cause: commands.go had grown to 505 lines with three jobs, and of the promises in docs/DESIGN.md only 'a leaving endpoint gets no new work' had no assertion in the program.

Change: record commands, questions (audit, explain, status) and membership in files of their own, moved unchanged; an agent that takes on an attempt while leaving stops.

--- a/internal/app/agent/runs.go
+++ b/internal/app/agent/runs.go
@@ -55,7 +55,11 @@
 	room   chan struct{} // the producer may have room again
 }
 
+// newRun takes on an admitted attempt. It is called under the lock.
 func (a *Agent) newRun(p wire.RunParams, id ident.Index, conn *rpc.Conn) *run {
+	if a.leaving {
+		panic("invariant: agent: attempt " + p.Attempt.String() + " taken on while leaving")
+	}
 	ctx, cancel := context.WithTimeout(a.ctx, p.EndWithin)
 	r := &run{params: p, id: id, conn: conn, out: stream.NewSender(a.cfg.Window), ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), room: make(chan struct{}, 1)}
 	a.runs[p.Attempt] = r
--- a/internal/app/ctl/commands.go
+++ b/internal/app/ctl/commands.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,11 +12,9 @@
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/app/control"
-	"github.com/cassiapass/cassiapass/internal/core/consensus"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/record"
 	"github.com/cassiapass/cassiapass/internal/core/state"
-	"github.com/cassiapass/cassiapass/internal/wire"
 )
 
 // changeFlags are the flags of commands that change records.
@@ -298,199 +295,6 @@
 	return out
 }
 
-type auditCmd struct {
-	cli     *cli
-	Subject string `long:"subject" description:"record, endpoint or \"replica N\""`
-	Target  string `long:"target" description:"model or adapter, as explain takes it"`
-	Host    string `long:"endpoint" description:"endpoint's host"`
-	Action  string `long:"action" description:"submit, revise, withdraw, grant, ready, drain, remove or endpoint"`
-	By      string `long:"by" description:"operator or process"`
-	Limit   int    `long:"limit" default:"50" description:"newest events to show"`
-}
-
-// Execute implements flags.Commander.
-func (x *auditCmd) Execute([]string) error {
-	q := url.Values{"limit": {fmt.Sprint(x.Limit)}}
-	for k, v := range map[string]string{"subject": x.Subject, "target": x.Target, "host": x.Host, "action": x.Action, "by": x.By} {
-		if v != "" {
-			q.Set(k, v)
-		}
-	}
-	var es []state.AuditEvent
-	if err := x.cli.call(http.MethodGet, "/v1/audit?"+q.Encode(), nil, &es); err != nil {
-		return err
-	}
-	return x.cli.print(es, func() { x.cli.events(es) })
-}
-
-type explainCmd struct {
-	cli   *cli
-	Entry string `long:"entry" description:"URL of an entry's operator listener: explain a request id instead of a model"`
-	Args  struct {
-		What string `positional-arg-name:"MODEL-OR-REQUEST" description:"model@version[:adapter@version], or a request id with --entry"`
-	} `positional-args:"yes" required:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (x *explainCmd) Execute([]string) error {
-	if x.Entry != "" {
-		return x.request()
-	}
-	var ex control.Explanation
-	if err := x.cli.call(http.MethodGet, "/v1/explain/"+url.PathEscape(x.Args.What), nil, &ex); err != nil {
-		return err
-	}
-	return x.cli.print(ex, func() { x.cli.explanation(ex) })
-}
-
-func (c *cli) explanation(ex control.Explanation) {
-	if ex.Stated == nil {
-		fmt.Fprintf(c.out, "%s: no record in force states it\n", ex.Target)
-	} else {
-		fmt.Fprintf(c.out, "%s: %d bytes, %d to %d replicas sold, in %s\n", ex.Target, ex.Stated.Bytes, ex.Stated.Min, ex.Stated.Max, strings.Join(ex.Stated.Places, ", "))
-	}
-	if ex.Estimate != nil && ex.Estimate.Reason != "" {
-		fmt.Fprintf(c.out, "expected in %v: %s\n", ex.Estimate.In.Round(time.Millisecond), ex.Estimate.Reason)
-	}
-	c.table("REPLICA\tENDPOINT\tPHASE\tSINCE\tDECIDED BECAUSE", func(add func(string, ...any)) {
-		for _, r := range ex.Replicas {
-			add("%d\t%s\t%s\t%s\t%s", r.ID, r.Host, r.Phase, r.Since.Format(time.RFC3339), r.Reason)
-		}
-	})
-	c.events(ex.Events)
-}
-
-// request asks an entry how a request ended.
-func (x *explainCmd) request() error {
-	res, err := http.Get(strings.TrimSuffix(x.Entry, "/") + "/debug/requests/" + url.PathEscape(x.Args.What))
-	if err != nil {
-		return fail(ExitFailed, "%v", err)
-	}
-	defer res.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
-	if err != nil {
-		return fail(ExitFailed, "%v", err)
-	}
-	if res.StatusCode != http.StatusOK {
-		return fail(ExitNotFound, "%s", strings.TrimSpace(string(text)))
-	}
-	for _, l := range indented(record.Text(text)) {
-		fmt.Fprintln(x.cli.out, l)
-	}
-	return nil
-}
-
-type statusCmd struct{ cli *cli }
-
-// Execute implements flags.Commander. Every control host is asked, because each
-// knows only its own subscribers.
-func (x *statusCmd) Execute([]string) error {
-	var all []wire.ControlStatus
-	hosts := x.cli.opts.Control
-	for _, h := range hosts {
-		x.cli.opts.Control = []string{h}
-		var s wire.ControlStatus
-		if err := x.cli.call(http.MethodGet, "/v1/status", nil, &s); err != nil {
-			fmt.Fprintf(x.cli.errs, "%s: %v\n", h, err)
-			x.cli.code = ExitFailed
-			continue
-		}
-		all = append(all, s)
-	}
-	if len(hosts) == 0 {
-		return fail(ExitUsage, "--control is required")
-	}
-	return x.cli.print(all, func() { x.cli.status(all) })
-}
-
-func (c *cli) status(all []wire.ControlStatus) {
-	c.table("CONTROL HOST\tROLE\tTERM\tCOMMIT\tAPPLIED\tCONFIGURATION\tSUBSCRIBERS", func(add func(string, ...any)) {
-		for _, s := range all {
-			add("%d\t%s\t%d\t%d\t%d\t%d\t%d", s.Node.ID, s.Node.Role, s.Node.Term, s.Node.Commit, s.Node.Applied, s.Config, len(s.Subscribers))
-		}
-	})
-	c.table("\nPROCESS\tROLE\tINDEX\tCONFIGURATION\tSILENT", func(add func(string, ...any)) {
-		for _, s := range all {
-			for _, p := range s.Subscribers {
-				lag := ""
-				if p.Config < s.Config {
-					lag = " lags"
-				}
-				add("%s\t%s\t%d\t%d%s\t%.1fs", p.Process.Host, p.Process.Role, p.Index, p.Config, lag, p.Silent)
-			}
-		}
-	})
-	c.table("\nCHANGE\tIN FORCE AFTER\tSLOWEST\tSTILL OPEN", func(add func(string, ...any)) {
-		for _, s := range all {
-			for _, f := range s.InForce {
-				add("%d\t%.3fs\t%s\t%d", f.Index, f.Seconds, f.Slowest.Host, f.Open)
-			}
-		}
-	})
-}
-
-type memberCmd struct {
-	cli      *cli
-	Addr     string `long:"address" description:"address for the system's own processes, to add a host"`
-	Promote  bool   `long:"promote" description:"make it a voter"`
-	Remove   bool   `long:"remove" description:"remove it"`
-	Transfer bool   `long:"transfer" description:"hand leadership to it"`
-	Args     struct {
-		Node uint64 `positional-arg-name:"NODE" description:"identity, as the host's log and status print it"`
-	} `positional-args:"yes" required:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (x *memberCmd) Execute([]string) error {
-	id := consensus.NodeID(x.Args.Node)
-	p := wire.MemberParams{Member: consensus.Member{ID: id, Addr: x.Addr, Voter: x.Promote}, Remove: x.Remove, Transfer: x.Transfer}
-	if x.Promote && x.Addr == "" {
-		addr, err := x.address(id)
-		if err != nil {
-			return err
-		}
-		p.Member.Addr = addr
-	}
-	if !x.Remove && !x.Transfer && p.Member.Addr == "" {
-		return fail(ExitUsage, "--address is required to add a host")
-	}
-	res, err := x.change(p)
-	if err != nil {
-		return err
-	}
-	return x.cli.print(res, func() { fmt.Fprintln(x.cli.out, "done") })
-}
-
-const behindPause = 200 * time.Millisecond
-
-// change asks for the change again while the member that was added last is
-// still catching up: that takes a second or two and needs no operator.
-func (x *memberCmd) change(p wire.MemberParams) (wire.MemberResult, error) {
-	var res wire.MemberResult
-	deadline := time.Now().Add(x.cli.opts.Timeout)
-	for {
-		err := x.cli.call(http.MethodPost, "/v1/members", p, &res)
-		var f *failure
-		if !errors.As(err, &f) || !f.again || time.Now().Add(behindPause).After(deadline) {
-			return res, err
-		}
-		time.Sleep(behindPause)
-	}
-}
-
-// address finds the address of a member that is known already.
-func (x *memberCmd) address(id consensus.NodeID) (string, error) {
-	var s wire.ControlStatus
-	if err := x.cli.call(http.MethodGet, "/v1/status", nil, &s); err != nil {
-		return "", err
-	}
-	m, ok := s.Node.Membership.Find(id)
-	if !ok {
-		return "", fail(ExitNotFound, "no member %d; add it with --address first", id)
-	}
-	return m.Addr, nil
-}
-
 type digestCmd struct{ cli *cli }
 
 // Execute implements flags.Commander. The key is read from standard input, so
