Late requests of a stopping entry are refused, not begun and cut

A stream begun 6.6 s after SIGTERM was cut 1 s later.

Ruled out: the drain itself (idle channels are closed after 2.5 s, responses carry Connection: close).

Change: 2.5 s after the stop began, a request whose route may take longer than what is left is answered 503 with a time to come back, which is true and sends the caller to another entry at once.

Tests: adapter/http1 and app/gateway got theirs here, among them TestStopServesWhatCanEndAndRefusesTheRest; writing them found that a head over the limit passed when it arrived in one piece (mended).

--- /dev/null
+++ b/internal/adapter/http1/http1_test.go
@@ -0,0 +1,158 @@
+package http1
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var testLimits = Limits{HeaderBytes: 2 << 10, BodyBytes: 1 << 10, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: time.Second}
+
+// offer gives raw bytes to a Conn and returns what it reads.
+func offer(t *testing.T, raw string) (*Request, error) {
+	t.Helper()
+	a, b := net.Pipe()
+	t.Cleanup(func() { _ = a.Close(); _ = b.Close() })
+	go func() { _, _ = a.Write([]byte(raw)) }()
+	return NewConn(b, func() Limits { return testLimits }).ReadRequest()
+}
+
+func TestWellFormedRequests(t *testing.T) {
+	cases := map[string]struct{ raw, method, target, body string }{
+		"no body":  {"GET /a?b=1 HTTP/1.1\r\nHost: x\r\n\r\n", "GET", "/a?b=1", ""},
+		"length":   {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", "POST", "/a", "abc"},
+		"chunks":   {"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", "POST", "/a", "abc"},
+		"raw path": {"GET /a%2Fb/%7e HTTP/1.1\r\nHost: x\r\n\r\n", "GET", "/a%2Fb/%7e", ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, err := offer(t, tc.raw)
+			is.NoErr(err)
+			is.Equal(r.Method, tc.method)
+			is.Equal(r.Target, tc.target)
+			is.Equal(string(r.Body), tc.body)
+		})
+	}
+}
+
+// Symptom: an endpoint runs a request that nobody sent.
+// Sequence: a caller sends a head that two parsers end at different places.
+// Cause: the part that the first parser takes for a body is a request to the
+// second.
+func TestAmbiguousHeadsAreRefused(t *testing.T) {
+	const start = "POST /a HTTP/1.1\r\nHost: x\r\n"
+	cases := map[string]struct {
+		raw    string
+		status int
+	}{
+		"length and chunks":      {start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		"two lengths":            {start + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400},
+		"signed length":          {start + "Content-Length: +3\r\n\r\nabc", 400},
+		"list of lengths":        {start + "Content-Length: 3, 3\r\n\r\nabc", 400},
+		"space before the colon": {start + "Content-Length : 3\r\n\r\nabc", 400},
+		"folded field":           {start + "A: b\r\n c\r\n\r\n", 400},
+		"bare line feed":         {start + "A: b\nContent-Length: 3\r\n\r\nabc", 400},
+		"bare carriage return":   {start + "A: b\rContent-Length: 3\r\n\r\nabc", 400},
+		"unknown coding":         {start + "Transfer-Encoding: xchunked\r\n\r\n", 501},
+		"no host":                {"GET /a HTTP/1.1\r\n\r\n", 400},
+		"two hosts":              {start + "Host: y\r\n\r\n", 400},
+		"bad request line":       {"GET /a b HTTP/1.1\r\nHost: x\r\n\r\n", 400},
+		"large head":             {start + "A: " + strings.Repeat("b", 3<<10) + "\r\n\r\n", 431},
+		"large body":             {start + "Content-Length: 2000\r\n\r\n", 413},
+		"slow head":              {start, 408},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := offer(t, tc.raw)
+			var bad *BadRequest
+			is.True(errors.As(err, &bad))
+			is.Equal(bad.Status, tc.status)
+		})
+	}
+}
+
+func FuzzHeadsAreReadOneWay(f *testing.F) {
+	f.Add("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc")
+	f.Add("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, raw string) {
+		head, _, ok := strings.Cut(raw, "\r\n\r\n")
+		if !ok || checkHead([]byte(head+"\r\n\r\n")) != nil {
+			return
+		}
+		low := strings.ToLower(head)
+		if strings.Contains(low, "\r\ncontent-length:") && strings.Contains(low, "\r\ntransfer-encoding:") {
+			t.Errorf("both framings passed: %q", head)
+		}
+		if strings.Contains(strings.ReplaceAll(head, "\r\n", ""), "\n") {
+			t.Errorf("a bare line feed passed: %q", head)
+		}
+	})
+}
+
+// Symptom: a request goes out on a connection that the endpoint has closed, and
+// is in doubt.
+// Sequence: a kept connection is closed by the endpoint while idle.
+// Cause: nobody looks at idle connections.
+func TestIdleConnectionThatEndsIsDropped(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	served := make(chan net.Conn, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			buf := make([]byte, 1024)
+			_, _ = c.Read(buf)
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			served <- c
+		}
+	}()
+	p := NewPool(time.Second)
+	exchange := func() *ClientConn {
+		c, err := p.Get(context.Background(), l.Addr().String(), 2)
+		is.NoErr(err)
+		c.Send("GET", "/", "x", nil, nil)
+		r, err := c.Receive("GET")
+		is.NoErr(err)
+		r.Done()
+		return c
+	}
+	exchange()
+	_ = (<-served).Close()
+	time.Sleep(50 * time.Millisecond)
+	is.True(!exchange().Reused) // a new connection
+	is.Equal(p.Dialed(), uint64(2))
+	second := <-served
+	_, _ = second.Write([]byte("stray")) // belongs to no request
+	time.Sleep(50 * time.Millisecond)
+	is.True(!exchange().Reused)
+	is.Equal(p.Dialed(), uint64(3))
+}
+
+func TestBoundOnConnections(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	p := NewPool(time.Second)
+	addr := l.Addr().String()
+	a, err := p.Get(context.Background(), addr, 1)
+	is.NoErr(err)
+	_, err = p.Get(context.Background(), addr, 1)
+	is.True(errors.Is(err, ErrFull) && errors.Is(err, ErrUnsent))
+	a.Close()
+	b, err := p.Get(context.Background(), addr, 1)
+	is.NoErr(err)
+	b.Close()
+}
--- a/internal/adapter/http1/request.go
+++ b/internal/adapter/http1/request.go
@@ -54,13 +54,14 @@
 	for {
 		b, _ := br.Peek(br.Buffered())
 		from := max(0, seen-3)
-		if i := bytes.Index(b[from:], []byte("\r\n\r\n")); i >= 0 {
-			return b[:from+i+4], nil
-		}
-		seen = len(b)
-		if seen >= limit {
+		end := bytes.Index(b[from:], []byte("\r\n\r\n"))
+		if from+end+4 > limit || (end < 0 && len(b) >= limit) {
 			return nil, &BadRequest{http.StatusRequestHeaderFieldsTooLarge, "the header is too large"}
 		}
+		if end >= 0 {
+			return b[:from+end+4], nil
+		}
+		seen = len(b)
 		if _, err := br.Peek(seen + 1); err != nil {
 			return nil, err
 		}
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -47,7 +47,7 @@
 	failing float64
 	judged  time.Time
 	shunned time.Time
-	dropped bool // no list shows it any more; kept while requests run there
+	dropped bool                // no list shows it any more; kept while requests run there
 	lacks   map[fleet.Want]bool // it said so since the directory was last told
 	runs    map[fleet.Want]*runs
 }
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -80,6 +80,10 @@
 	if x.route = t.Find(r.Host, r.Path); x.route == nil {
 		return x.end(http.StatusNotFound, "no_route", nil, []byte("no route leads there\n"))
 	}
+	if st := g.stopAt.Load(); st != nil && st.tooLate(x.arrived, x.route.Timeout) {
+		c.CloseAfter()
+		return x.refuse(http.StatusServiceUnavailable, "stopping")
+	}
 	x.service = x.route.Pick(ask.ID)
 	x.lastEvent = ask.LastEvent
 	left := x.route.Timeout
--- /dev/null
+++ b/internal/app/gateway/requests_test.go
@@ -0,0 +1,315 @@
+package gateway
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiapass/cassiapass/internal/core/fleet"
+)
+
+func TestAnswerIsPassedOnUnchanged(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, body []byte) bool {
+		return reply(c, r, 404, "echo:"+string(body), "Signature: abc", "Keep-Alive: timeout=9", "Server-Says: hi")
+	})
+	g := startGateway(t, b)
+	a := dial(t, g).ask("POST", "/once/x?y=%2f", "r1", "body", "Other: kept", "Connection: Hop", "Hop: not passed")
+	is.Equal(a.status, 404)
+	is.Equal(a.body, "echo:body")
+	is.Equal(a.header.Get("Signature"), "abc")
+	is.Equal(a.header.Get("Server-Says"), "hi")
+	is.Equal(a.header.Get("Keep-Alive"), "") // concerns the endpoint's connection only
+	seen := b.seen[0]
+	is.Equal(seen.RequestURI, "/once/x?y=%2f")
+	is.Equal(seen.Header.Get("Other"), "kept")
+	is.Equal(seen.Header.Get("Hop"), "")
+	is.Equal(seen.Header.Get("Target"), "e0")
+}
+
+func TestUnknownRouteAndUnknownDeployment(t *testing.T) {
+	is := is.New(t)
+	g := startGateway(t, newBackend(t, answerOK))
+	is.Equal(dial(t, g).ask("GET", "/none/", "r1", "").status, 404)
+	is.Equal(dial(t, g).ask("GET", "/safe/", "", "").status, 400)
+	g.table.Store(nil)
+	a := dial(t, g).ask("GET", "/none/", "r2", "")
+	is.Equal(a.status, 503) // which routes there are is not known yet
+	is.True(a.header.Get("Retry-After") != "")
+}
+
+// Symptom: a report is filed twice.
+// Sequence: the endpoint takes the request and closes the connection.
+// Cause: a request that may have run is sent again.
+func TestOnceIsNeverSentAgainInDoubt(t *testing.T) {
+	is := is.New(t)
+	hangUp := func(*bufio.Reader, net.Conn, *http.Request, []byte) bool { return false }
+	a, b := newBackend(t, hangUp), newBackend(t, hangUp)
+	g := startGateway(t, a, b)
+	got := dial(t, g).ask("POST", "/once/", "r1", "x")
+	is.Equal(got.status, 502) // nothing is promised
+	is.Equal(a.arrivals()+b.arrivals(), 1)
+	got = dial(t, g).ask("GET", "/safe/", "r2", "")
+	is.Equal(got.status, 502)
+	is.Equal(a.arrivals()+b.arrivals(), 3) // two attempts, as the route allows
+}
+
+// Symptom: a GET runs three times though the route allows two attempts.
+// Sequence: a kept connection is closed under a request.
+// Cause: the standard client repeats such a request by itself.
+func TestKeptConnectionThatClosesIsNotRetriedBehindOurBack(t *testing.T) {
+	is := is.New(t)
+	first := true
+	b := newBackend(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		if first {
+			first = false
+			return reply(c, r, 200, "ok")
+		}
+		return false
+	})
+	g := startGateway(t, b)
+	c := dial(t, g)
+	is.Equal(c.ask("GET", "/safe/", "r1", "").status, 200)
+	is.Equal(c.ask("GET", "/safe/", "r2", "").status, 502)
+	is.Equal(b.arrivals(), 2) // the second was sent once: its only endpoint is tried
+}
+
+// Symptom: a request that no endpoint ran is answered 502, so a report is lost.
+// Sequence: the first endpoint says that it did not run it.
+// Cause: the endpoint's own word is safe to act on.
+func TestNotRunIsSentElsewhere(t *testing.T) {
+	is := is.New(t)
+	full := func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		return reply(c, r, 503, "", "Not-Run: 1")
+	}
+	a, b := newBackend(t, full), newBackend(t, answerOK)
+	g := startGateway(t, a, b)
+	for i := range 8 {
+		is.Equal(dial(t, g).ask("POST", "/once/", "r"+strconv.Itoa(i), "x").status, 200)
+	}
+	is.Equal(b.arrivals(), 8)
+}
+
+func TestAllFullIsRefusedWithATimeToComeBack(t *testing.T) {
+	is := is.New(t)
+	full := func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		return reply(c, r, 503, "", "Not-Run: 1")
+	}
+	g := startGateway(t, newBackend(t, full), newBackend(t, full))
+	begin := time.Now()
+	a := dial(t, g).ask("POST", "/once/", "r1", "x")
+	is.Equal(a.status, 503)
+	wait, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(wait > 0)
+	is.True(time.Since(begin) < time.Second) // at once, not at the time limit
+}
+
+// Symptom: a caller gets another caller's answer.
+// Sequence: an endpoint sends an extra answer after a whole one, at once or
+// where the next answer is expected.
+// Cause: bytes on a kept connection are taken for the next answer.
+func TestStrayAnswersReachNobody(t *testing.T) {
+	is := is.New(t)
+	stray := "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nstray"
+	n := 0
+	b := newBackend(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		n++
+		if n%2 == 0 {
+			_, _ = c.Write([]byte(stray)) // before the answer that is due
+		}
+		ok := reply(c, r, 200, "mine:"+r.Header.Get("Id"))
+		if n%3 == 0 {
+			_, _ = c.Write([]byte(stray)) // after it
+		}
+		return ok
+	})
+	g := startGateway(t, b)
+	c := dial(t, g)
+	for i := range 24 {
+		id := "r" + strconv.Itoa(i)
+		a := c.ask("POST", "/once/", id, "x")
+		is.Equal(a.status, 200)
+		is.Equal(a.body, "mine:"+id)
+	}
+}
+
+// Symptom: an endpoint reads the end of a long body as a request.
+// Sequence: it answers before it has read the body, and keeps the connection.
+// Cause: the connection is used for the next request before the body is sent.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	lines := make(chan string, 64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					line, err := br.ReadString('\n')
+					if err != nil {
+						return
+					}
+					lines <- line
+					id := ""
+					for line != "\r\n" {
+						line, err = br.ReadString('\n')
+						if err != nil {
+							return
+						}
+						if v, ok := strings.CutPrefix(line, "Id: "); ok {
+							id = strings.TrimSpace(v)
+						}
+					}
+					_, _ = c.Write([]byte("HTTP/1.1 413 X\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"))
+					time.Sleep(100 * time.Millisecond) // reads on later
+				}
+			}()
+		}
+	}()
+	b := &backend{l: l}
+	g := startGateway(t, b)
+	c := dial(t, g)
+	long := strings.Repeat("y", 3<<20)
+	is.Equal(c.ask("POST", "/once/", "r1", long).status, 413)
+	is.Equal(c.ask("GET", "/safe/", "r2", "").status, 413)
+	for range 2 {
+		line := <-lines
+		is.True(strings.HasSuffix(line, "HTTP/1.1\r\n")) // a request line, not the rest of a body
+	}
+}
+
+// Symptom: a request sent once more runs longer than its caller waits.
+// Sequence: the first endpoint takes 300 ms and fails; the second is told the
+// time that was left at first.
+// Cause: the time left is computed once.
+func TestTimeLeftShrinksWithEachSend(t *testing.T) {
+	is := is.New(t)
+	lefts := make(chan int, 2)
+	slow := func(_ *bufio.Reader, _ net.Conn, r *http.Request, _ []byte) bool {
+		n, _ := strconv.Atoi(r.Header.Get("Left"))
+		lefts <- n
+		time.Sleep(300 * time.Millisecond)
+		return false
+	}
+	g := startGateway(t, newBackend(t, slow), newBackend(t, slow))
+	dial(t, g).ask("GET", "/safe/", "r1", "", "Left: 1500")
+	first, second := <-lefts, <-lefts
+	is.True(first <= 1500 && first > 1300)
+	is.True(second <= first-290)
+}
+
+// Symptom: a caller waits for minutes.
+// Sequence: the endpoint takes the request and says nothing more.
+// Cause: nothing bounds the wait.
+func TestSilentEndpointIsGivenUpAtTheTimeLimit(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(br *bufio.Reader, _ net.Conn, _ *http.Request, _ []byte) bool {
+		_, _ = br.ReadByte() // until the gateway hangs up
+		return false
+	})
+	g := startGateway(t, b)
+	begin := time.Now()
+	a := dial(t, g).ask("POST", "/once/", "r1", "x", "Left: 400")
+	is.Equal(a.status, 504)
+	is.True(time.Since(begin) < 600*time.Millisecond)
+}
+
+// Symptom: an endpoint works on for callers that have left.
+// Sequence: the caller closes its connection while its request runs, or waits.
+// Cause: nobody reads the caller's connection meanwhile.
+func TestCallerThatLeavesIsNoticed(t *testing.T) {
+	is := is.New(t)
+	hungUp := make(chan time.Time, 1)
+	b := newBackend(t, func(br *bufio.Reader, _ net.Conn, _ *http.Request, _ []byte) bool {
+		_, _ = br.ReadByte()
+		hungUp <- time.Now()
+		return false
+	})
+	g := startGateway(t, b)
+	c := dial(t, g)
+	c.send("POST", "/stream/", "r1", "x")
+	for b.arrivals() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	left := time.Now()
+	is.NoErr(c.c.Close())
+	is.True((<-hungUp).Sub(left) < 300*time.Millisecond)
+	for g.inflight.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(time.Since(left) < 500*time.Millisecond)
+}
+
+// Symptom: a cold request is refused though its model is loaded within its time.
+// Sequence: no endpoint holds the model; a directory that does comes 100 ms later.
+func TestRequestWaitsForItsModel(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, answerOK)
+	g := startGateway(t, b)
+	c := dial(t, g)
+	c.send("POST", "/stream/", "r1", "x", "Model: rare")
+	for len(g.demands.tell(time.Now())) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond)
+	eps := listed(b)
+	eps[0].Held = append(eps[0].Held, fleet.Held{Model: "rare"})
+	g.dir.replace(1, 2, eps)
+	is.Equal(c.receive().status, 200)
+
+	begin := time.Now()
+	a := dial(t, g).ask("POST", "/stream/", "r2", "x", "Model: never", "Left: 1000")
+	is.Equal(a.status, 503) // what is left is the caller's
+	is.True(time.Since(begin) < 700*time.Millisecond)
+	is.Equal(b.arrivals(), 1)
+}
+
+// Symptom: streams that begin long after a stop was announced are cut.
+// Sequence: a stop; a request in progress; requests on kept connections, one
+// soon and one late.
+// Cause: what is taken in late cannot end before the process is killed.
+func TestStopServesWhatCanEndAndRefusesTheRest(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		if r.Header.Get("Id") == "long" {
+			time.Sleep(drainIdle + 500*time.Millisecond)
+		}
+		return reply(c, r, 200, "ok")
+	})
+	g := startGateway(t, b)
+	g.table.Load().Config().Routes[0].Timeout = 10 * time.Second
+	running, soon, late := dial(t, g), dial(t, g), dial(t, g)
+	running.send("POST", "/once/", "long", "x", "Left: 10000")
+	is.Equal(soon.ask("POST", "/once/", "r1", "x").status, 200)
+	is.Equal(late.ask("POST", "/once/", "r2", "x").status, 200)
+	done := make(chan struct{})
+	go func() { g.Stop(4 * time.Second); close(done) }()
+	time.Sleep(100 * time.Millisecond)
+	is.True(g.Ready(t.Context()) != nil)
+	a := soon.ask("POST", "/once/", "r3", "x")
+	is.Equal(a.status, 200)
+	is.True(a.closes)
+	time.Sleep(drainIdle - 300*time.Millisecond)
+	late.send("POST", "/once/", "r4", "x") // still in time
+	is.Equal(late.receive().status, 200)
+	time.Sleep(200 * time.Millisecond)
+	refused := dial(t, g).ask("POST", "/once/", "r5", "x")
+	is.Equal(refused.status, 503)
+	is.True(refused.closes)
+	is.Equal(running.receive().status, 200)
+	<-done
+}
--- /dev/null
+++ b/internal/app/gateway/streams_test.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// head begins a stream of unknown length.
+func head(c net.Conn, r *http.Request) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+}
+
+func chunk(c net.Conn, s string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		b.WriteString(event(i))
+	}
+	return b.String()
+}
+
+// Symptom: a piece of a stream is missing, comes twice or is half.
+// Sequence: an endpoint dies in the middle of an event; another goes on.
+// Cause: half an event was passed on, or the second endpoint was asked to go on
+// from the wrong one.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	serve := func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		head(c, r)
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		if last == 0 {
+			chunk(c, events(1, 3))
+			chunk(c, event(4)[:7])
+			return false
+		}
+		chunk(c, event(last)) // a repeat of what the caller has
+		for i := last + 1; i <= 6; i++ {
+			chunk(c, event(i))
+		}
+		_, _ = c.Write([]byte("0\r\n\r\n"))
+		return true
+	}
+	a, b := newBackend(t, serve), newBackend(t, serve)
+	g := startGateway(t, a, b)
+	got := dial(t, g).ask("POST", "/resume/", "r1", "x")
+	is.NoErr(got.err)
+	is.Equal(got.body, events(1, 6))
+	is.Equal(a.arrivals()+b.arrivals(), 2)
+}
+
+// Symptom: a caller takes half an answer for a whole one.
+// Sequence: a stream that may not be resumed breaks.
+// Cause: the gateway ends its own chunked body though the endpoint's is cut.
+func TestCutStreamDoesNotLookWhole(t *testing.T) {
+	is := is.New(t)
+	serve := func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		head(c, r)
+		chunk(c, events(1, 2))
+		return false
+	}
+	a, b := newBackend(t, serve), newBackend(t, serve)
+	g := startGateway(t, a, b)
+	got := dial(t, g).ask("POST", "/stream/", "r1", "x")
+	is.True(got.err != nil)
+	is.Equal(got.body, events(1, 2))
+	is.Equal(a.arrivals()+b.arrivals(), 1)
+}
+
+// Symptom: the first words come late.
+// Sequence: an endpoint sends one event and works on the next.
+// Cause: events are gathered.
+func TestEventsPassAsTheyCome(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resume/"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			goOn := make(chan struct{})
+			b := newBackend(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+				head(c, r)
+				chunk(c, event(1))
+				<-goOn
+				chunk(c, event(2))
+				_, _ = c.Write([]byte("0\r\n\r\n"))
+				return true
+			})
+			g := startGateway(t, b)
+			c := dial(t, g)
+			c.send("POST", path, "r1", "x")
+			r, err := http.ReadResponse(c.br, nil)
+			is.NoErr(err)
+			buf := make([]byte, 100)
+			n, err := r.Body.Read(buf)
+			is.NoErr(err)
+			is.Equal(string(buf[:n]), event(1))
+			close(goOn)
+		})
+	}
+}
+
+func TestUnframedStreamEndsWithItsConnection(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", r.Header.Get("Id"), events(1, 2))
+		return false
+	})
+	g := startGateway(t, b)
+	c := dial(t, g)
+	got := c.ask("POST", "/stream/", "r1", "x")
+	is.NoErr(got.err)
+	is.Equal(got.body, events(1, 2))
+	is.Equal(c.ask("GET", "/safe/", "r2", "").status, 200) // the caller's connection lives on
+}
+
+func TestEventsAreTakenApart(t *testing.T) {
+	is := is.New(t)
+	is.Equal(wholeEvents([]byte("id: 1\n\nid: 2\r\n\r\nid: 3\n")), len("id: 1\n\nid: 2\r\n\r\n"))
+	id, ok := eventID([]byte("weights: 3\nid: 17\ndata: x\n\n"))
+	is.True(ok)
+	is.Equal(id, "17")
+	is.True(follows("10", "9"))
+	is.True(!follows("9", "10"))
+	is.True(follows("1", ""))
+	is.True(follows("b", "a"))
+}
+
+// Symptom: an entry's memory grows without bound while a caller stops reading.
+// Sequence: an endpoint sends without end; the caller reads nothing.
+// Cause: nothing bounds what is written; here a write that blocks ends both sides.
+func TestCallerThatStopsReadingIsLeft(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	b := newBackend(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		head(c, r)
+		big := strings.Repeat("z", 64<<10)
+		for {
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(big), big); err != nil {
+				close(ended)
+				return false
+			}
+		}
+	})
+	g := startGateway(t, b)
+	c := dial(t, g)
+	c.send("POST", "/stream/", "r1", "x")
+	select {
+	case <-ended:
+	case <-time.After(8 * time.Second):
+		is.Fail() // the endpoint still sends
+	}
+}
