--- /dev/null
+++ b/internal/core/fleet/sim_test.go
@@ -0,0 +1,393 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiapass/cassiapass/internal/core/deploy"
+)
+
+// simEngine is an engine that keeps to the published rules: one order of
+// weights at a time, an order only at its expected sequence number, a crash if
+// it is ordered to hold more than fits.
+type simEngine struct {
+	ep       Endpoint
+	spec     *deploy.Engine
+	sequence uint64
+	held     map[string]map[string]bool // model to adapters
+	busy     time.Time                  // until an order of weights is done
+	pending  func()                     // its effect
+	past     []pastReport
+	crashed  string
+	disk     map[string]bool
+}
+
+type pastReport struct {
+	at time.Time
+	r  Report
+}
+
+func (s *simEngine) settle(now time.Time) {
+	if s.pending != nil && !now.Before(s.busy) {
+		s.pending()
+		s.pending = nil
+	}
+	s.past = append(s.past, pastReport{now, s.report()})
+	if len(s.past) > 400 {
+		s.past = s.past[200:]
+	}
+}
+
+func (s *simEngine) report() Report {
+	r := Report{Busy: s.pending != nil, Sequence: s.sequence, Copies: Copies{Disk: slices.Sorted(maps.Keys(s.disk))}}
+	for _, m := range slices.Sorted(maps.Keys(s.held)) {
+		r.Held = append(r.Held, Held{Model: m, Version: 1, Adapters: slices.Sorted(maps.Keys(s.held[m]))})
+	}
+	return r
+}
+
+// lagging returns the report of some 100 ms ago.
+func (s *simEngine) lagging(now time.Time) Report {
+	if len(s.past) == 0 {
+		return s.report()
+	}
+	out := s.past[0].r
+	for _, p := range s.past {
+		if now.Sub(p.at) >= 100*time.Millisecond {
+			out = p.r
+		}
+	}
+	return out
+}
+
+func (s *simEngine) order(now time.Time, o Order) Answer {
+	if o.Expected != s.sequence || s.pending != nil {
+		return Busy
+	}
+	adapters, holds := s.held[o.Want.Model]
+	switch {
+	case o.Op == Load && o.Want.Adapter == "" && holds, o.Op == Load && o.Want.Adapter != "" && adapters[o.Want.Adapter]:
+		return Holds
+	case o.Want.Adapter != "" && !holds, o.Op == Unload && o.Want.Adapter == "" && !holds:
+		return Rejected
+	}
+	s.sequence++
+	switch {
+	case o.Op == Load && o.Want.Adapter != "":
+		adapters[o.Want.Adapter] = true
+	case o.Op == Unload && o.Want.Adapter != "":
+		delete(adapters, o.Want.Adapter)
+	case o.Op == Load:
+		takes := s.spec.Models[o.Want.Model].FromStore
+		if s.disk[o.Want.Model] {
+			takes = s.spec.Models[o.Want.Model].FromDisk
+		}
+		s.check(o.Want.Model)
+		s.busy, s.pending = now.Add(takes), func() { s.held[o.Want.Model], s.disk[o.Want.Model] = map[string]bool{}, true }
+	default:
+		s.busy, s.pending = now.Add(20*time.Millisecond), func() { delete(s.held, o.Want.Model) }
+	}
+	s.check("")
+	return Accepted
+}
+
+// check notes a crash if what is held, and loading, exceeds the engine.
+func (s *simEngine) check(loading string) {
+	var mb int64
+	places := 0
+	for m, as := range s.held {
+		mb += s.spec.Models[m].Megabytes + int64(len(as))*s.spec.Models[m].AdapterSize
+		places += len(as)
+	}
+	if loading != "" {
+		mb += s.spec.Models[loading].Megabytes
+	}
+	if mb > s.spec.Weights || places > s.spec.AdapterPlaces {
+		s.crashed = fmt.Sprintf("%s was ordered to hold %d MB and %d adapters", s.ep.ID, mb, places)
+	}
+}
+
+// simulation plays demand against a planner in virtual time.
+type simulation struct {
+	r       *rand.Rand
+	now     time.Time
+	p       *Planner
+	engines map[EndpointID]*simEngine
+	later   []delayed
+	lose    float64 // share of orders without an answer, carried out late
+	store   int
+	most    int // loads from the store at once
+}
+
+type delayed struct {
+	at time.Time
+	f  func()
+}
+
+func testEngine(models int) *deploy.Engine {
+	e := &deploy.Engine{Slots: 32, Weights: 83000, AdapterPlaces: 3, Models: map[string]*deploy.Model{}}
+	for i := range models {
+		mb := int64(16100)
+		if i%2 == 1 {
+			mb = 34300
+		}
+		name := fmt.Sprintf("m%d", i)
+		e.Models[name] = &deploy.Model{Name: name, Megabytes: mb, AdapterSize: 40, Adapters: 8,
+			FromStore: 6 * time.Second, FromDisk: 400 * time.Millisecond, FromMemory: 300 * time.Millisecond}
+	}
+	return e
+}
+
+func newSimulation(seed uint64, engines, models int, lose float64) *simulation {
+	s := &simulation{r: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1e6, 0), p: New(DefaultConfig()), engines: map[EndpointID]*simEngine{}, lose: lose}
+	spec := testEngine(models)
+	s.p.SetDeployment(&deploy.Config{Services: map[string]*deploy.Service{"llm": {Name: "llm", Engine: spec}}})
+	for i := range engines {
+		id := EndpointID(fmt.Sprintf("e%02d", i))
+		e := &simEngine{ep: Endpoint{ID: id, Service: "llm", Addr: string(id), Slots: 32}, spec: spec, held: map[string]map[string]bool{}, disk: map[string]bool{}}
+		for m := range models {
+			if (m+i)%3 == 0 {
+				e.disk[fmt.Sprintf("m%d", m)] = true
+			}
+		}
+		s.engines[id] = e
+	}
+	return s
+}
+
+func (s *simulation) list() {
+	var eps []Endpoint
+	for _, e := range s.engines {
+		ep := e.ep
+		r := e.lagging(s.now)
+		ep.Held, ep.Copies = r.Held, r.Copies
+		eps = append(eps, ep)
+	}
+	s.p.List(s.now, eps)
+}
+
+const simStep = 10 * time.Millisecond
+
+// step moves time on and carries out what the planner wants.
+func (s *simulation) step() {
+	s.now = s.now.Add(simStep)
+	for _, e := range s.engines {
+		e.settle(s.now)
+	}
+	due := s.later
+	s.later = nil
+	for _, d := range due {
+		if d.at.After(s.now) {
+			s.later = append(s.later, d)
+			continue
+		}
+		d.f()
+	}
+	w := s.p.Plan(s.now)
+	for _, o := range w.Orders {
+		s.carryOut(o)
+	}
+	for _, q := range w.Queries {
+		e := s.engines[q.Endpoint]
+		s.after(2*simStep, func() { s.p.Reported(s.now, q.Endpoint, e.lagging(s.now)) })
+	}
+	s.most = max(s.most, s.p.store)
+}
+
+func (s *simulation) after(d time.Duration, f func()) {
+	s.later = append(s.later, delayed{s.now.Add(d), f})
+}
+
+func (s *simulation) carryOut(o Order) {
+	e := s.engines[o.Endpoint]
+	if s.r.Float64() < s.lose {
+		// No answer; carried out up to 12 s later, after newer orders, or at once.
+		wait := time.Duration(s.r.IntN(12000)) * time.Millisecond
+		if s.r.IntN(4) == 0 {
+			wait = 0
+		}
+		s.after(wait, func() { e.order(s.now, o) })
+		s.after(time.Second, func() { s.p.Answered(s.now, o, Unanswered) })
+		return
+	}
+	a := e.order(s.now, o)
+	s.after(simStep, func() { s.p.Answered(s.now, o, a) })
+}
+
+func (s *simulation) crashed() string {
+	for _, e := range s.engines {
+		if e.crashed != "" {
+			return e.crashed
+		}
+	}
+	return ""
+}
+
+// Symptom: an engine crashes under its models.
+// Sequence: orders get no answer and are carried out seconds later, after newer
+// ones, while demand asks for ever other models and adapters.
+// Cause: an order without an answer is taken for not carried out, or for done.
+func TestLateOrdersNeverOverfillAnEngine(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(seed, 4, 16, 0.3)
+			s.list()
+			for i := range 3000 { // 30 s
+				if i%20 == 0 {
+					s.ask(3)
+				}
+				if i%40 == 0 {
+					s.list()
+				}
+				s.step()
+				if c := s.crashed(); c != "" {
+					t.Fatal(c)
+				}
+			}
+			is.True(s.most <= DefaultConfig().StoreAtOnce)
+		})
+	}
+}
+
+// ask tells of requests for n models drawn at random.
+func (s *simulation) ask(n int) {
+	var ds []Demand
+	for range n {
+		w := Want{Model: fmt.Sprintf("m%d", s.r.IntN(16))}
+		if s.r.IntN(2) == 0 {
+			w.Adapter = fmt.Sprintf("a%d", s.r.IntN(8))
+		}
+		ds = append(ds, Demand{Want: w, Arrived: 1, Waiting: 1, Earliest: time.Duration(s.r.IntN(20)) * time.Second})
+	}
+	var us []Use
+	for id, e := range s.engines {
+		for m := range e.held {
+			if s.r.IntN(4) == 0 {
+				us = append(us, Use{Endpoint: id, Want: Want{Model: m}, Running: s.r.IntN(8), Begun: 1})
+			}
+		}
+	}
+	s.p.Hear(s.now, "entry", ds, us)
+}
+
+// Symptom: a model that waits is loaded late or never.
+// Sequence: one model that lies on two engines' disks is asked for; all memory
+// is taken by idle models.
+func TestColdModelIsLoadedFromDiskWithinASecond(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 3, 9, 0)
+	for _, e := range s.engines {
+		e.held["m1"], e.held["m3"] = map[string]bool{}, map[string]bool{}
+	}
+	s.step()
+	s.list()
+	for range 100 {
+		s.step()
+	}
+	want := Want{Model: "m4"}
+	s.p.Hear(s.now, "entry", []Demand{{Want: want, Arrived: 1, Waiting: 1, Earliest: 20 * time.Second}}, nil)
+	took := 0
+	for ; took < 100 && !s.held(want); took++ {
+		s.step()
+	}
+	is.True(took < 100) // one unload, one load of 0.4 s, two reports
+}
+
+func (s *simulation) held(w Want) bool {
+	for _, e := range s.p.engines {
+		if e.has(w) {
+			return true
+		}
+	}
+	return false
+}
+
+// Symptom: a busy model's requests wait although other engines are idle.
+// Sequence: the only engine that holds it is more than half full.
+func TestCrowdedModelGetsAnotherReplica(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 3, 9, 0)
+	s.engines["e00"].held["m0"] = map[string]bool{}
+	s.step()
+	s.list()
+	for range 30 {
+		s.step()
+	}
+	for range 800 { // 8 s: the other engines have no copy and load from the store
+		s.p.Hear(s.now, "entry", []Demand{{Want: Want{Model: "m0"}, Arrived: 2}}, []Use{{Endpoint: "e00", Want: Want{Model: "m0"}, Running: 20, Begun: 2}})
+		s.step()
+	}
+	is.True(s.p.holders("m0") >= 2)
+}
+
+// Symptom: requests race with the unload of their model.
+// Sequence: a model is in use; another one needs its room.
+func TestModelInUseIsNotUnloaded(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 1, 9, 0)
+	e := s.engines["e00"]
+	e.held["m1"], e.held["m3"] = map[string]bool{}, map[string]bool{}
+	s.step()
+	s.list()
+	for i := range 400 {
+		s.p.Hear(s.now, "entry", []Demand{{Want: Want{Model: "m5"}, Arrived: 1, Waiting: 1}},
+			[]Use{{Endpoint: "e00", Want: Want{Model: "m1"}, Running: 1}, {Endpoint: "e00", Want: Want{Model: "m3"}, Running: min(1, i/200)}})
+		s.step()
+	}
+	is.True(s.p.engines["e00"].held["m1"] != nil) // in use all the time
+	is.True(s.p.engines["e00"].held["m3"] == nil) // idle at first, so it made way
+}
+
+func TestFullAdapterPlacesMakeWayForTheOneAskedFor(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 1, 9, 0)
+	s.engines["e00"].held["m0"] = map[string]bool{"a0": true, "a1": true, "a2": true}
+	s.step()
+	s.list()
+	for range 60 {
+		s.step()
+	}
+	want := Want{Model: "m0", Adapter: "a7"}
+	for range 60 {
+		s.p.Hear(s.now, "entry", []Demand{{Want: want, Waiting: 1}}, []Use{{Endpoint: "e00", Want: Want{Model: "m0", Adapter: "a1"}, Running: 1}})
+		s.step()
+	}
+	is.True(s.held(want))
+	is.True(s.held(Want{Model: "m0", Adapter: "a1"})) // in use
+	is.Equal(s.crashed(), "")
+}
+
+func TestFencedOrderIsLookedInto(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 1, 9, 0)
+	s.step()
+	s.list()
+	for range 30 {
+		s.step()
+	}
+	e := s.p.engines["e00"]
+	o := Order{Endpoint: "e00", Addr: "e00", Op: Load, Want: Want{Model: "m0"}}
+	e.order = &underway{Order: o, given: s.now}
+	s.p.Answered(s.now, o, Fenced)
+	is.True(e.order == nil && e.doubt)
+	s.p.Answered(s.now, o, Accepted) // an answer to an order that is over changes nothing
+	is.True(e.order == nil)
+}
+
+func TestChooseTakesTheLessLoadedOfTwo(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Choose(nil, rand.IntN), -1)
+	is.Equal(Choose([]Candidate{{}}, rand.IntN), 0)
+	for range 50 {
+		is.Equal(Choose([]Candidate{{Running: 9, Slots: 32, SameZone: true}, {Running: 3, Slots: 32, SameZone: true}}, rand.IntN), 1)
+		is.Equal(Choose([]Candidate{{Slots: 32, SameZone: true}, {Slots: 32}}, rand.IntN), 0)
+		is.Equal(Choose([]Candidate{{Slots: 32, Failing: 0.5, SameZone: true}, {Running: 16, Slots: 32}}, rand.IntN), 1)
+	}
+}
