--- a/internal/app/gateway/streams_test.go
+++ b/internal/app/gateway/streams_test.go
@@ -158,3 +158,27 @@
 		is.Fail() // the endpoint still sends
 	}
 }
+
+// Symptom: every stream costs a new connection to its endpoint.
+// Sequence: streams one after the other on one endpoint.
+// Cause: what follows the last chunk is not read, so the connection is closed.
+func TestConnectionIsKeptAfterAStream(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resume/", "/safe/"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			b := newBackend(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+				head(c, r)
+				chunk(c, event(1))
+				chunk(c, event(2))
+				_, _ = c.Write([]byte("0\r\n\r\n"))
+				return true
+			})
+			g := startGateway(t, b)
+			c := dial(t, g)
+			for i := range 5 {
+				is.Equal(c.ask("POST", path, "r"+strconv.Itoa(i), "x").status, 200)
+			}
+			is.Equal(b.connections(), 1)
+		})
+	}
+}
