A read answered twice no longer blocks a control host for ever

A read is asked again every 300 ms into one channel of one place; when the partition heals all of the questions are answered, and the second send never ends. The same stops a leader.

Ruled out, each by a run with extra lines on a scratch copy: lost or blocked connections (messages arrived and were read), the member's term, its disk.

Change: the second answer is dropped. Besides, connections between own processes get the probes and bounds that those to endpoints have (now in adapter/sockets, one copy), a write that stands still ends after 2 s (5 before) and a dial to a peer after 0.4 s (1 before), so that a healed path is found sooner.

Test: TestReadAnsweredTwiceDoesNotBlockTheLoop (hangs before).

--- a/internal/adapter/http1/client.go
+++ b/internal/adapter/http1/client.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cassiapass/cassiapass/internal/adapter/sockets"
 )
 
 // ErrUnsent tells that no byte of a request left: the endpoint cannot have run
@@ -78,7 +80,7 @@
 	if !p.reserve(addr, most) {
 		return nil, errors.Join(ErrUnsent, ErrFull)
 	}
-	d := dialer(p.dialTimeout)
+	d := sockets.Dialer(p.dialTimeout)
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.release(addr)
--- a/internal/adapter/rpc/frame.go
+++ b/internal/adapter/rpc/frame.go
@@ -19,7 +19,7 @@
 	// state are the largest ones.
 	MaxFrame     = 256 << 20
 	frameHeader  = 4
-	writeTimeout = 5 * time.Second
+	writeTimeout = 2 * time.Second // a peer that reads nothing for so long is dialled anew
 	bufferSize   = 4 << 10
 
 	// notifyMark is set in the length of a frame that holds a notification.
--- a/internal/adapter/rpc/rpc.go
+++ b/internal/adapter/rpc/rpc.go
@@ -12,6 +12,8 @@
 
 	"github.com/samber/oops"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/cassiapass/cassiapass/internal/adapter/sockets"
 )
 
 // Security tells how connections are protected. Key may be empty only when the
@@ -129,7 +131,7 @@
 
 // Dial connects to addr, an IP number and port.
 func Dial(ctx context.Context, addr string, sec Security, count *Counter, h Handler) (*Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+	dialer := sockets.Dialer(dialTimeout)
 	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, oops.With("addr", addr).Wrapf(err, "connect")
@@ -167,7 +169,8 @@
 // Listen starts a Server on addr. gone is called after a connection has closed,
 // failed for one that did not authenticate; both may be nil.
 func Listen(addr string, sec Security, count *Counter, h Handler, gone func(*Conn), failed func(string, error)) (*Server, error) {
-	l, err := net.Listen("tcp", addr)
+	lc := sockets.ListenConfig()
+	l, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, oops.With("addr", addr).Wrapf(err, "listen")
 	}
--- a/internal/adapter/http1/socket.go
+++ b/internal/adapter/sockets/sockets.go
@@ -1,4 +1,8 @@
-package http1
+// Package sockets opens TCP connections that notice a dead path by themselves.
+// Something between two ends may lose track of a connection without a reset, and
+// hosts behind a partition swallow packets: only probes and bounds of our own
+// show it.
+package sockets
 
 import (
 	"net"
@@ -33,12 +37,12 @@
 	return err
 }
 
-// ListenConfig returns how listeners of this package are opened.
+// ListenConfig returns how listeners are opened.
 func ListenConfig() net.ListenConfig {
 	return net.ListenConfig{Control: control, KeepAliveConfig: keepAlive}
 }
 
-// dialer returns how connections to endpoints are opened.
-func dialer(timeout time.Duration) net.Dialer {
+// Dialer returns how connections are opened.
+func Dialer(timeout time.Duration) net.Dialer {
 	return net.Dialer{Timeout: timeout, Control: control, KeepAliveConfig: keepAlive}
 }
--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -252,3 +252,21 @@
 	is.True(s.hosts[1].ID() != old)
 	s.eventually("whole again", func() bool { return s.settled(4) })
 }
+
+// Symptom: a host neither votes nor answers any more, for ever, after a
+// partition has healed; its process runs on.
+// Sequence: reads wait through the partition and are asked again every 300 ms;
+// when it heals, all of them are answered.
+// Cause: a second answer to one reader blocked the loop.
+func TestReadAnsweredTwiceDoesNotBlockTheLoop(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	s.eventually("formed", func() bool { return s.settled(1) })
+	l := s.hosts[0].loop
+	ch := make(chan uint64, 1)
+	for range 3 {
+		is.True(l.post(func() { l.startRead(ch) }))
+	}
+	s.deploy(0, 1) // needs the loop
+	is.True(<-ch > 0)
+}
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -176,7 +176,13 @@
 	for _, r := range rd.Reads {
 		if ch, ok := l.reads[r.Context]; ok {
 			delete(l.reads, r.Context)
-			ch <- r.Index
+			// A reader asks again while an answer may be on its way, so two can
+			// come; it takes the first. Symptom of a plain send: after a
+			// partition heals, the second answer blocks the loop for ever.
+			select {
+			case ch <- r.Index:
+			default:
+			}
 		}
 	}
 	return l.apply(rd.Committed)
--- a/internal/app/control/peers.go
+++ b/internal/app/control/peers.go
@@ -14,6 +14,9 @@
 const (
 	peerQueue   = 1024 // messages waiting for one peer; more are dropped and sent anew by consensus
 	redialPause = 100 * time.Millisecond
+	// dialPeer bounds a dial. During a partition a dial's first packet is lost and
+	// repeated only after a second: a short bound finds the healed path sooner.
+	dialPeer    = 400 * time.Millisecond
 	peerSilence = 2 * time.Second // an idle-looking connection to a peer is closed and dialled anew
 )
 
@@ -159,7 +162,7 @@
 			return conn, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), dialPeer)
 	defer cancel()
 	conn, err := rpc.Dial(ctx, pr.addr, p.sec, p.count, refuseAll)
 	if err != nil {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/adapter/http1"
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
+	"github.com/cassiapass/cassiapass/internal/adapter/sockets"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
@@ -69,7 +70,7 @@
 
 // New opens the listener and starts the entry.
 func New(cfg Config) (*Gateway, error) {
-	lc := http1.ListenConfig()
+	lc := sockets.ListenConfig()
 	l, err := lc.Listen(context.Background(), "tcp", cfg.Listen)
 	if err != nil {
 		return nil, oops.With("addr", cfg.Listen).Wrapf(err, "listen for callers")
