--- a/internal/adapter/http1/request.go
+++ b/internal/adapter/http1/request.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -44,9 +43,6 @@
 	IdleTimeout   time.Duration
 }
 
-// errIdle tells that a connection ended between two requests.
-var errIdle = errors.New("the connection ended between requests")
-
 // readHead returns the raw head without consuming it. More than limit bytes
 // without an end are refused.
 func readHead(br *bufio.Reader, limit int) ([]byte, error) {
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -62,17 +62,16 @@
 	board  *board
 
 	// Owned by the loop.
-	term     uint64 // 0 while not leading
-	began    time.Time
-	fenced   uint64 // term in which a newer leader's orders were met
-	planner  *fleet.Planner
-	decoded  uint64 // version of the planner's deployment
-	listing  bool
-	listed   time.Time
-	listOK   bool
-	entries  map[string]time.Time
-	rev      uint64
-	lastRuns map[fleet.EndpointID]int
+	term    uint64 // 0 while not leading
+	began   time.Time
+	fenced  uint64 // term in which a newer leader's orders were met
+	planner *fleet.Planner
+	decoded uint64 // version of the planner's deployment
+	listing bool
+	listed  time.Time
+	listOK  bool
+	entries map[string]time.Time
+	rev     uint64
 }
 
 // New returns a Controller; Run starts it.
--- a/internal/core/fleet/sim_test.go
+++ b/internal/core/fleet/sim_test.go
@@ -122,8 +122,7 @@
 	engines map[EndpointID]*simEngine
 	later   []delayed
 	lose    float64 // share of orders without an answer, carried out late
-	store   int
-	most    int // loads from the store at once
+	most    int     // loads from the store at once
 }
 
 type delayed struct {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,7 +5,7 @@
 export CGO_ENABLED=1
 
 echo "== format"
-unformatted=$(gofmt -l cmd internal)
+unformatted=$(gofmt -l cmd internal platform)
 if [ -n "$unformatted" ]; then
   echo "not formatted:"; echo "$unformatted"; exit 1
 fi
