An endpoint that cannot be reached costs no retry budget

Cause: TestReclaimedHostGivesItsReplicasFree failed once in a full run beside other load: "status 503, not_run, the endpoint cannot be reached, code retry_budget_used_up". The only replica's host had vanished; until control noticed and placed the next one, the request tried the dead host again and again, and each try that reached nothing took from the budget, which bounds what endpoints get beyond first attempts.

Ruled out: a wrong refusal (the request truly had not run); the planner (the next replica came within its time).

Change: a try of which nothing left costs no budget; the backoff between tries and the request's own time limit bound them.

Test: TestUnreachableEndpointCostsNoRetryBudget, with a budget of nothing (fails before).

--- a/internal/app/dev/control_test.go
+++ b/internal/app/dev/control_test.go
@@ -414,6 +414,31 @@
 	})
 }
 
+// Symptom: "not run: the endpoint cannot be reached, retry_budget_used_up" for a
+// model whose only host has vanished, though the next replica is a second away.
+// Sequence: the host of the only replica vanishes; requests try it again and
+// again until control has noticed.
+// Cause: tries that reached nothing used up the budget for retries.
+func TestUnreachableEndpointCostsNoRetryBudget(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(c *Config) {
+		c.Leases.GoneWait = 500 * time.Millisecond
+		c.TuneEntry = func(e *entry.Config) { e.RetryShare, e.RetryBurst = 0, 0 }
+		c.Engines = append(c.Engines, EngineSpec{Host: "kyushu-gpu-2", Zone: "oita", Place: "kyushu", Memory: 24e9, HonoursFence: true})
+	})
+	warm(t, s)
+	for _, h := range []string{"kyushu-gpu-1", "kyushu-gpu-2"} {
+		if a := s.agent(h); len(a.Engine.Facts().Held) > 0 {
+			a.Kill()
+			a.Back.Close()
+			s.Hosts.Remove(a.Cfg.Host)
+			break
+		}
+	}
+	body := prompt("summary", 3, 2)
+	is.NoErr(whole(body, ask(s.api(0), KeyEast, chat, body), 2))
+}
+
 // Symptom: an endpoint serves nothing although its host and agent are well.
 // Sequence: the agent is cut off from control for longer than the platform's
 // list lacks its host; control forgets it; the network heals.
--- a/internal/app/entry/attempt.go
+++ b/internal/app/entry/attempt.go
@@ -29,6 +29,7 @@
 	reason     string
 	retryAfter time.Duration
 	records    []state.Record
+	unsent     bool     // nothing reached the endpoint
 	final      *refusal // the job ends with this, whatever the state
 }
 
@@ -90,7 +91,7 @@
 		if err != nil && !sent {
 			// Nothing left this host: it did not run.
 			e.withTable(func() { e.table.Failed(time.Now(), f.ep.Host) })
-			return verdict{state: wire.RunNotRun, reason: "the endpoint cannot be reached"}, false
+			return verdict{state: wire.RunNotRun, reason: "the endpoint cannot be reached", unsent: true}, false
 		}
 		if err != nil {
 			pause(ctx, resumePause)
--- a/internal/app/entry/job.go
+++ b/internal/app/entry/job.go
@@ -167,8 +167,14 @@
 	}
 	j.tried = append(j.tried, c.Host)
 	j.retries++
-	allowed := false
-	e.withTable(func() { allowed = e.budget.Retry() })
+	// The budget bounds what endpoints get beyond first attempts. One that
+	// could not be reached got nothing: counting it would refuse a request for
+	// a model whose only host is gone before control has placed the next
+	// replica, though there is time left.
+	allowed := v.unsent
+	if !allowed {
+		e.withTable(func() { allowed = e.budget.Retry() })
+	}
 	if !allowed {
 		e.met.budgetEmpty.Inc()
 		return e.giveUp(v, "retry_budget_used_up")
