Logs that never block, a line for each decision, and the story of a request

Cause: an on-call engineer has only logs and metrics, and the gateway wrote one line a request, straight to standard output.

Each request has a line when it waits, when it is sent (where to, load and age of what decided it), when an endpoint says that it did not run it, and at its end; the fleet planner tells why an order is given and how it ended.

Tests: a full pipe, ten times the usual rate with failures among it.

--- /dev/null
+++ b/internal/adapter/logs/bounded_test.go
@@ -0,0 +1,88 @@
+package logs
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// Symptom: requests stop because nobody reads the log.
+// Sequence: standard output is a pipe whose reader stopped reading; many
+// requests end.
+// Cause: a line that waits for the pipe.
+func TestFullPipeCostsLinesNotRequests(t *testing.T) {
+	is := is.New(t)
+	r, w, err := os.Pipe()
+	is.NoErr(err)
+	defer r.Close()
+	defer w.Close()
+	log, b := NewBounded(w, zerolog.InfoLevel, "entry", "h")
+	begin := time.Now()
+	for range 50000 {
+		log.Info().Str("request", "r").Msg("request_answered")
+	}
+	is.True(time.Since(begin) < 2*time.Second)
+	dropped, _ := b.Dropped()
+	is.True(dropped > 40000)
+}
+
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// Symptom: the one line that tells why a request failed is missing.
+// Sequence: ten times the usual rate of successes, failures among them.
+// Cause: lines are left out without regard to what they tell.
+func TestFailuresAreKeptAtTenTimesTheRate(t *testing.T) {
+	is := is.New(t)
+	var out safeBuffer
+	log, b := NewBounded(&out, zerolog.InfoLevel, "entry", "h")
+	const failures = 300
+	for i := range 20 * failures {
+		if i%20 == 0 {
+			log.Warn().Int("n", i).Msg("request_unknown")
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		log.Info().Int("n", i).Msg("request_answered")
+	}
+	time.Sleep(reportEvery + 300*time.Millisecond)
+	b.Close()
+	is.Equal(strings.Count(out.String(), "event=request_unknown"), failures)
+	ordinary, others := b.Dropped()
+	is.True(ordinary > 0)
+	is.Equal(others, uint64(0))
+	is.True(strings.Contains(out.String(), "event=log_lines_dropped")) // and says so
+}
+
+func BenchmarkLine(b *testing.B) {
+	log, s := NewBounded(io.Discard, zerolog.InfoLevel, "entry", "h")
+	defer s.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Warn().Str("request", "9c41d07be2a35f68").Str("endpoint", "i-7f3a91c2").Int("status", 200).Dur("took", time.Second).Msg("request_refused")
+		for len(s.queue) > queued/2 {
+			time.Sleep(10 * time.Microsecond)
+		}
+	}
+}
--- a/internal/adapter/logs/logs.go
+++ b/internal/adapter/logs/logs.go
@@ -14,7 +14,13 @@
 // New returns a logger that writes to w at the given level and above. Values
 // are quoted where they need it, so every event stays on one line.
 func New(w io.Writer, level zerolog.Level, role, host string) zerolog.Logger {
-	out := zerolog.ConsoleWriter{
+	return zerolog.New(format(w)).Level(level).With().Timestamp().Str("role", role).Str("host", host).Logger()
+}
+
+// format returns a writer that turns zerolog's lines into key=value pairs.
+func format(w io.Writer) io.Writer {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.ConsoleWriter{
 		Out:           w,
 		NoColor:       true,
 		PartsOrder:    []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
@@ -28,8 +34,6 @@
 		FormatErrFieldName:  func(any) string { return "error=" },
 		FormatErrFieldValue: func(v any) string { return value(v) },
 	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	return zerolog.New(out).Level(level).With().Timestamp().Str("role", role).Str("host", host).Logger()
 }
 
 func pair(k string, v any) string {
--- a/internal/adapter/opshttp/opshttp.go
+++ b/internal/adapter/opshttp/opshttp.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -15,14 +16,18 @@
 
 const readyTimeout = time.Second
 
+// Metrics is what a role measures.
+type Metrics interface{ WritePrometheus(w io.Writer) }
+
 // New returns an HTTP interface with /healthz, /readyz and /metrics. ready
 // returns why the process is not ready, or nil.
-func New(ready func(context.Context) error, set *vm.Set) *echo.Echo {
+func New(ready func(context.Context) error, set Metrics) *echo.Echo {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	Health(e, ready)
 	e.GET("/metrics", func(x echo.Context) error {
 		set.WritePrometheus(x.Response())
+		vm.WriteProcessMetrics(x.Response()) // memory, processor, descriptors
 		return nil
 	})
 	return e
--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 
@@ -38,6 +39,8 @@
 	HostList  port.HostList // nil if the platform has none
 	HostEvery time.Duration
 	Log       zerolog.Logger
+	// Metrics is the set that this host adds its own to; nil for a new one.
+	Metrics *vm.Set
 	// Seeds lets the group form and keep itself whole without an operator.
 	Seeds Seeds
 	// Methods answers calls that another part of the process offers to the
@@ -98,7 +101,7 @@
 	}
 	c.hub = newHub(c.copyAll)
 	c.peers = newPeers(c.id, c.cfg.Security, c.count)
-	c.met = newMetrics(c.count, c.Status, c.hub.subscribers)
+	c.met = newMetrics(c.cfg.Metrics, c.count, c.Status, c.hub.subscribers)
 	c.srv, err = rpc.Listen(c.cfg.Listen, c.cfg.Security, c.count, c.handle, c.hub.unsubscribe, c.authFailed)
 	if err != nil {
 		return err
--- a/internal/app/control/metrics.go
+++ b/internal/app/control/metrics.go
@@ -17,8 +17,10 @@
 	planSeconds *vm.Summary
 }
 
-func newMetrics(count *rpc.Counter, status func() consensus.Status, subscribers func() int) *metrics {
-	s := vm.NewSet()
+func newMetrics(s *vm.Set, count *rpc.Counter, status func() consensus.Status, subscribers func() int) *metrics {
+	if s == nil {
+		s = vm.NewSet()
+	}
 	m := &metrics{
 		set:         s,
 		syncs:       s.NewCounter("cassiapass_control_log_syncs_total"),
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/cassiapass/cassiapass/internal/app/control"
@@ -39,7 +40,9 @@
 	// old fencing numbers need none; for others it must outlast the orders
 	// that an earlier leader may still have under way.
 	Hold time.Duration
-	Log  zerolog.Logger
+	// Metrics is the set that the Controller adds its own to.
+	Metrics *vm.Set
+	Log     zerolog.Logger
 }
 
 // Leadership is what the Controller needs of the control host.
@@ -60,6 +63,7 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	board  *board
+	met    *metrics
 
 	// Owned by the loop.
 	term    uint64 // 0 while not leading
@@ -77,7 +81,7 @@
 // New returns a Controller; Run starts it.
 func New(cfg Config) *Controller {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Controller{cfg: cfg, events: make(chan func(time.Time), 1024), ctx: ctx, cancel: cancel, done: make(chan struct{}), board: newBoard()}
+	return &Controller{cfg: cfg, events: make(chan func(time.Time), 1024), ctx: ctx, cancel: cancel, done: make(chan struct{}), board: newBoard(), met: newMetrics(cfg.Metrics)}
 }
 
 // Run starts the loop on top of a control host.
@@ -209,6 +213,11 @@
 
 // carryOut gives orders and asks for reports, each in its own goroutine.
 func (c *Controller) carryOut(w fleet.Work) {
+	for _, s := range w.Settled {
+		c.met.settled(s)
+		c.cfg.Log.Info().Str("endpoint", string(s.Endpoint)).Str("op", string(s.Op)).Str("model", s.Want.Model).Str("adapter", s.Want.Adapter).
+			Uint64("expected", s.Expected).Str("source", string(s.Source)).Str("result", s.Result).Dur("took", s.Took).Msg("order_settled")
+	}
 	for _, o := range w.Orders {
 		go c.order(c.planner, c.term, o)
 	}
@@ -227,8 +236,9 @@
 		answer = c.cfg.Fleet.Order(ctx, o, term)
 	}
 	c.cfg.Log.Info().Str("endpoint", string(o.Endpoint)).Str("op", string(o.Op)).Str("model", o.Want.Model).Str("adapter", o.Want.Adapter).
-		Uint64("expected", o.Expected).Uint64("fence", term).Str("source", string(o.Source)).Stringer("answer", answer).
+		Uint64("expected", o.Expected).Uint64("fence", term).Str("source", string(o.Source)).Str("reason", o.Reason).Stringer("answer", answer).
 		Dur("took", time.Since(begin)).Err(err).Msg("order_given")
+	c.met.ordered(o, answer)
 	c.post(func(now time.Time) {
 		if c.planner != planner {
 			return
--- /dev/null
+++ b/internal/app/controller/metrics.go
@@ -0,0 +1,33 @@
+package controller
+
+import (
+	"fmt"
+
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"github.com/cassiapass/cassiapass/internal/core/fleet"
+)
+
+// metrics are the measurements of one controller.
+type metrics struct{ set *vm.Set }
+
+func newMetrics(set *vm.Set) *metrics {
+	if set == nil {
+		set = vm.NewSet()
+	}
+	return &metrics{set}
+}
+
+// ordered counts an order by how the engine answered.
+func (m *metrics) ordered(o fleet.Order, a fleet.Answer) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cassiapass_fleet_orders_total{op=%q,answer=%q}`, o.Op, a)).Inc()
+}
+
+// settled counts loads of weights by source, and how long they took.
+func (m *metrics) settled(s fleet.Settled) {
+	if s.Op != fleet.Load || s.Want.Adapter != "" {
+		return
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cassiapass_fleet_loads_total{source=%q}`, s.Source)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`cassiapass_fleet_load_seconds{source=%q}`, s.Source)).Update(s.Took.Seconds())
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -45,6 +45,7 @@
 	}
 	stop := context.AfterFunc(ctx, cc.Abort)
 	defer stop()
+	x.logSent(e, cc)
 	h := x.r.Header.Clone()
 	x.g.cfg.Dialect.Write(h, Sending{Left: time.Until(x.until), Endpoint: e.ID, Priority: x.route.Priority, LastEvent: x.lastEvent})
 	cc.Send(x.r.Method, x.r.Target, x.r.Host, h, x.r.Body)
@@ -56,6 +57,7 @@
 	x.g.dir.measured(e, v)
 	if v.NotRun {
 		x.discard(resp)
+		x.g.cfg.Log.Info().Str("request", x.ask.ID).Str("endpoint", string(e.ID)).Int("status", resp.Status).Bool("lacks", v.Lacks).Bool("moved", v.Moved).Msg("endpoint_did_not_run")
 		return notRunResult(v)
 	}
 	if x.first == 0 {
@@ -69,6 +71,14 @@
 	return res
 }
 
+// logSent tells where the request goes and what decided that.
+func (x *exchange) logSent(e *endpoint, cc *http1.ClientConn) {
+	s := x.g.dir.standing(e)
+	x.g.cfg.Log.Info().Str("request", x.ask.ID).Str("endpoint", string(e.ID)).Str("zone", string(e.Zone)).Int("send", x.sends).
+		Int("mine", s.mine).Int("others", s.others).Int("slots", s.slots).Float64("failing", s.failing).Uint64("directory", s.rev).Dur("list_age", s.age).
+		Dur("left", time.Until(x.until)).Bool("kept_connection", cc.Reused).Str("last_event", x.lastEvent).Msg("request_sent")
+}
+
 // receive reads the head of the answer to this request. Answers to others,
 // which a faulty endpoint may send late, are skipped.
 func (x *exchange) receive(cc *http1.ClientConn, e *endpoint) (*http1.Response, Verdict, error) {
@@ -173,8 +183,10 @@
 // copy passes the rest of a body on as it arrives.
 func (x *exchange) copy(resp *http1.Response) (result, error) {
 	buf := make([]byte, streamBuffer)
+	last := time.Now()
 	for {
 		n, err := resp.Body.Read(buf)
+		last = x.g.met.gap(last)
 		if werr := x.c.Part(buf[:n]); werr != nil {
 			resp.Drop()
 			return result{outcome: abandon, final: true}, nil
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 )
@@ -30,6 +32,7 @@
 // directory is what the gateway knows of endpoints.
 type directory struct {
 	zone ident.Zone
+	log  zerolog.Logger
 
 	mu      sync.Mutex
 	term    uint64 // of the leader that told the endpoints
@@ -58,8 +61,8 @@
 	begun   int // since it was last told
 }
 
-func newDirectory(zone ident.Zone) *directory {
-	return &directory{zone: zone, byID: map[fleet.EndpointID]*endpoint{}, changed: make(chan struct{})}
+func newDirectory(zone ident.Zone, log zerolog.Logger) *directory {
+	return &directory{zone: zone, log: log, byID: map[fleet.EndpointID]*endpoint{}, changed: make(chan struct{})}
 }
 
 // wake makes waiting requests look again. The caller holds mu.
@@ -84,10 +87,14 @@
 		listed[ep.ID] = true
 		e, known := d.byID[ep.ID]
 		if !known {
+			d.note(ep, "endpoint_up")
 			d.byID[ep.ID] = &endpoint{Endpoint: ep, lacks: map[fleet.Want]bool{}, runs: map[fleet.Want]*runs{}}
 			continue
 		}
 		e.dropped = false
+		if ep.Leaving && !e.Leaving {
+			d.note(ep, "endpoint_leaving")
+		}
 		if !models {
 			// The list lags behind the leader's knowledge of models; only what
 			// it alone tells is taken from it.
@@ -99,6 +106,9 @@
 	}
 	for id, e := range d.byID {
 		if !listed[id] {
+			if !e.dropped {
+				d.note(e.Endpoint, "endpoint_gone")
+			}
 			e.Leaving, e.dropped = true, true
 			if e.mine == 0 {
 				delete(d.byID, id)
@@ -107,6 +117,12 @@
 	}
 }
 
+// note tells what this entry believes of an endpoint from now on.
+func (d *directory) note(ep fleet.Endpoint, event string) {
+	d.log.Info().Str("endpoint", string(ep.ID)).Str("service", ep.Service).Str("address", ep.Addr).Str("zone", string(ep.Zone)).
+		Uint64("directory", d.rev).Dur("list_age", time.Since(d.asOf)).Msg(event)
+}
+
 // list takes in the platform's list, read by this process itself.
 func (d *directory) list(asOf time.Time, eps []fleet.Endpoint) {
 	d.mu.Lock()
@@ -146,6 +162,12 @@
 	return len(d.byID) > 0
 }
 
+func (d *directory) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.byID)
+}
+
 // holds reports whether an endpoint at addr is known, for the connection pool.
 func (d *directory) holds(addr string) bool {
 	d.mu.Lock()
@@ -302,6 +324,7 @@
 	case lacking:
 		e.lacks[want] = true
 	case unsent:
+		d.note(e.Endpoint, "endpoint_shunned")
 		e.judge(now, 1)
 		e.shunned = later(e.shunned, now.Add(unreachable))
 		time.AfterFunc(unreachable, d.poke)
@@ -334,6 +357,20 @@
 	e.judged = now
 }
 
+// standing is what is known of an endpoint at one moment, for logs.
+type standing struct {
+	mine, others, slots int
+	failing             float64
+	rev                 uint64
+	age                 time.Duration
+}
+
+func (d *directory) standing(e *endpoint) standing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return standing{e.mine, e.others, e.slots(), e.failingAt(time.Now()), d.rev, time.Since(d.asOf)}
+}
+
 // measured takes in the load that an endpoint told with an answer.
 func (d *directory) measured(e *endpoint, v Verdict) {
 	if !v.Measured {
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -68,15 +68,15 @@
 // another one.
 func (g *Gateway) handle(c *http1.Conn, r *http1.Request) bool {
 	x := &exchange{g: g, c: c, r: r, arrived: time.Now(), tried: map[fleet.EndpointID]bool{}}
+	ask, err := g.cfg.Dialect.Read(r.Header)
+	x.ask = ask
 	t := g.table.Load()
 	if t == nil {
 		return x.refuse(http.StatusServiceUnavailable, "no_deployment")
 	}
-	ask, err := g.cfg.Dialect.Read(r.Header)
 	if err != nil {
 		return x.end(http.StatusBadRequest, "bad_field", nil, []byte(err.Error()+"\n"))
 	}
-	x.ask = ask
 	if x.route = t.Find(r.Host, r.Path); x.route == nil {
 		return x.end(http.StatusNotFound, "no_route", nil, []byte("no route leads there\n"))
 	}
@@ -120,7 +120,7 @@
 		if e == nil {
 			return x.without()
 		}
-		if x.sends > 0 && !x.g.budget(x.service, (*limit.Shared).Retry) {
+		if x.sends > 0 && !x.retry() {
 			x.g.dir.release(e, x.ask.Want, abandon)
 			x.reason = "retry_budget"
 			return x.without()
@@ -135,6 +135,13 @@
 	}
 }
 
+// retry takes one more send from the retry budget.
+func (x *exchange) retry() bool {
+	allowed := x.g.budget(x.service, (*limit.Shared).Retry)
+	x.g.met.retried(allowed)
+	return allowed
+}
+
 // without is the fate of a request that is not sent any more.
 func (x *exchange) without() fate {
 	switch {
@@ -197,6 +204,8 @@
 		if !waits {
 			waits = true
 			x.g.demands.begin(x.ask.Want, x)
+			x.g.cfg.Log.Info().Str("request", x.ask.ID).Str("service", x.service).Str("model", x.ask.Want.Model).Str("adapter", x.ask.Want.Adapter).
+				Str("reason", string(reason)).Dur("left", time.Until(x.until)).Dur("hold", hold).Dur("list_age", x.g.dir.age()).Msg("request_waits")
 		}
 		select {
 		case <-changed:
@@ -253,8 +262,12 @@
 
 func (x *exchange) log(event string, status int) {
 	took := time.Since(x.arrived)
-	x.g.met.ended(event, took, x.first)
-	ev := x.g.cfg.Log.Info().Str("request", x.ask.ID).Int("status", status).Int("sends", x.sends).Int("ran", x.ran).
+	x.g.met.ended(event, x.reason, took, x.waited, x.first)
+	ev := x.g.cfg.Log.Warn()
+	if event == "answered" {
+		ev = x.g.cfg.Log.Info()
+	}
+	ev.Str("request", x.ask.ID).Int("status", status).Int("sends", x.sends).Int("ran", x.ran).
 		Dur("took", took).Dur("waited", x.waited).Dur("first", x.first)
 	if x.route != nil {
 		ev.Str("route", x.route.Name).Str("service", x.service)
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -77,7 +77,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		cfg: cfg, listener: l, pool: http1.NewPool(dialTimeout), dir: newDirectory(cfg.Zone), demands: newDemands(),
+		cfg: cfg, listener: l, pool: http1.NewPool(dialTimeout), dir: newDirectory(cfg.Zone, cfg.Log), demands: newDemands(),
 		ctx: ctx, cancel: cancel, conns: map[*http1.Conn]bool{}, budgets: map[string]*limit.Shared{},
 	}
 	g.met = newMetrics(g)
@@ -159,6 +159,17 @@
 	return f(b)
 }
 
+// budgetLeft returns the extra arrivals left, over all services.
+func (g *Gateway) budgetLeft() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sum := 0.0
+	for _, b := range g.budgets {
+		sum += b.Left()
+	}
+	return sum
+}
+
 // learnEntries keeps the largest number of entries heard of: one that is cut
 // off still spends its part of the budget.
 func (g *Gateway) learnEntries(n int) {
@@ -209,7 +220,7 @@
 		switch {
 		case errors.As(err, &bad):
 			c.CloseAfter()
-			g.met.count("bad_request")
+			g.met.count("bad_request", "")
 			g.cfg.Log.Info().Str("remote", c.Remote()).Int("status", bad.Status).Str("reason", bad.Reason).Msg("request_malformed")
 			_ = c.WriteResponse(bad.Status, nil, []byte(bad.Reason+"\n"), false)
 			return
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -14,7 +14,9 @@
 	set   *vm.Set
 	rpc   rpc.Counter
 	took  *vm.Histogram
+	wait  *vm.Histogram
 	first *vm.Histogram
+	gaps  *vm.Histogram
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -22,7 +24,9 @@
 	m := &metrics{
 		set:   s,
 		took:  s.NewHistogram("cassiapass_gateway_request_seconds"),
+		wait:  s.NewHistogram("cassiapass_gateway_wait_seconds"),
 		first: s.NewHistogram("cassiapass_gateway_first_byte_seconds"),
+		gaps:  s.NewHistogram("cassiapass_gateway_stream_gap_seconds"),
 	}
 	s.NewGauge("cassiapass_gateway_requests_under_way", func() float64 { return float64(g.inflight.Load()) })
 	s.NewGauge("cassiapass_gateway_endpoint_list_age_seconds", func() float64 { return g.dir.age().Seconds() })
@@ -33,6 +37,9 @@
 		}
 		return 0
 	})
+	s.NewGauge("cassiapass_gateway_endpoints", func() float64 { return float64(g.dir.count()) })
+	s.NewGauge("cassiapass_gateway_entries_known", func() float64 { return float64(g.entries.Load()) })
+	s.NewGauge("cassiapass_gateway_retry_budget_left", g.budgetLeft)
 	opshttp.CountBytes(s, &m.rpc)
 	return m
 }
@@ -40,14 +47,35 @@
 // Metrics returns the set that the metrics listener serves.
 func (g *Gateway) Metrics() *vm.Set { return g.met.set }
 
-func (m *metrics) count(outcome string) {
-	m.set.GetOrCreateCounter(`cassiapass_gateway_requests_total{outcome="` + outcome + `"}`).Inc()
+func (m *metrics) count(outcome string, reason why) {
+	m.set.GetOrCreateCounter(`cassiapass_gateway_requests_total{outcome="` + outcome + `",reason="` + string(reason) + `"}`).Inc()
 }
 
-func (m *metrics) ended(outcome string, took, first time.Duration) {
-	m.count(outcome)
+func (m *metrics) retried(allowed bool) {
+	name := `cassiapass_gateway_retries_total{result="sent"}`
+	if !allowed {
+		name = `cassiapass_gateway_retries_total{result="over_budget"}`
+	}
+	m.set.GetOrCreateCounter(name).Inc()
+}
+
+func (m *metrics) ended(outcome string, reason why, took, waited, first time.Duration) {
+	if outcome == "answered" {
+		reason = "" // what delayed it is in the histogram of waits
+	}
+	m.count(outcome, reason)
 	m.took.Update(took.Seconds())
+	if waited > 0 {
+		m.wait.Update(waited.Seconds())
+	}
 	if first > 0 {
 		m.first.Update(first.Seconds())
 	}
 }
+
+// gap notes the time since the last piece of an answer and returns now.
+func (m *metrics) gap(last time.Time) time.Time {
+	now := time.Now()
+	m.gaps.Update(now.Sub(last).Seconds())
+	return now
+}
--- a/internal/app/gateway/requests_test.go
+++ b/internal/app/gateway/requests_test.go
@@ -321,10 +321,11 @@
 	is := is.New(t)
 	b := newBackend(t, answerOK)
 	g := startGateway(t, b)
-	c := dial(t, g)
 	g.stopAt.Store(&stopping{time.Now(), time.Now().Add(time.Hour)})
 	is.True(g.idle())
-	a := c.ask("POST", "/once/", "r1", "x")
+	// On a connection of its own: idle closes those that are open, and a request
+	// that crosses the close is reset without having been read.
+	a := dial(t, g).ask("POST", "/once/", "r1", "x")
 	is.Equal(a.status, 503)
 	is.True(a.closes)
 	is.Equal(b.arrivals(), 0)
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cassiapass/cassiapass/internal/adapter/http1"
 )
@@ -40,8 +41,10 @@
 func (x *exchange) events(resp *http1.Response) (result, error) {
 	var rest []byte
 	buf := make([]byte, streamBuffer)
+	last := time.Now()
 	for {
 		n, err := resp.Body.Read(buf)
+		last = x.g.met.gap(last)
 		rest = append(rest, buf[:n]...)
 		whole := wholeEvents(rest)
 		if werr := x.forward(rest[:whole]); werr != nil {
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -12,6 +13,7 @@
 type Work struct {
 	Orders  []Order
 	Queries []Query
+	Settled []Settled // since the last plan
 }
 
 // Query asks an engine for its report.
@@ -44,6 +46,7 @@
 		return w
 	}
 	p.settleAdapters(now)
+	w.Settled, p.settled = p.settled, nil
 	for _, want := range p.urgent() {
 		p.serve(now, want, &w)
 	}
@@ -146,10 +149,33 @@
 		return
 	}
 	if len(best.victims) > 0 {
-		p.give(now, best.e, Order{Op: Unload, Want: Want{Model: best.victims[0]}}, unloadTime, w)
+		p.give(now, best.e, Order{Op: Unload, Want: Want{Model: best.victims[0]}, Reason: "makes way for " + name + p.pressure(name)}, unloadTime, w)
 		return
 	}
-	p.give(now, best.e, Order{Op: Load, Want: Want{Model: name}, Source: best.source}, best.takes, w)
+	p.give(now, best.e, Order{Op: Load, Want: Want{Model: name}, Source: best.source, Reason: p.reason(now, name)}, best.takes, w)
+}
+
+// reason tells why a model is loaded.
+func (p *Planner) reason(now time.Time, name string) string {
+	return fmt.Sprintf("held by %d, %.1f requests a second%s", p.holders(name), p.rate(now, name), p.pressure(name))
+}
+
+// pressure tells what waits for a model and its adapters.
+func (p *Planner) pressure(name string) string {
+	n, urgency := 0, time.Duration(0)
+	for w, d := range p.wants {
+		if w.Model != name {
+			continue
+		}
+		n += d.waiting
+		if urgency == 0 || d.urgency < urgency {
+			urgency = d.urgency
+		}
+	}
+	if n == 0 {
+		return ", nothing waits"
+	}
+	return fmt.Sprintf(", %d wait, the first has %v left", n, urgency.Round(time.Millisecond))
 }
 
 // site tells what a load of a model at an engine would take.
@@ -264,10 +290,10 @@
 	eng, _ := p.spec(best, want.Model)
 	if best.places() >= eng.AdapterPlaces {
 		old, _ := p.idleAdapter(now, best)
-		p.give(now, best, Order{Op: Unload, Want: old}, unloadTime, w)
+		p.give(now, best, Order{Op: Unload, Want: old, Reason: "makes way for " + want.Model + "/" + want.Adapter}, unloadTime, w)
 		return
 	}
-	p.give(now, best, Order{Op: Load, Want: want}, adapterLoad, w)
+	p.give(now, best, Order{Op: Load, Want: want, Reason: "adapter" + p.pressure(want.Model)}, adapterLoad, w)
 }
 
 // idleAdapter returns the adapter of an engine that was unused for longest.
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -52,7 +52,8 @@
 	sources map[string]map[Want]Demand // entry to what waits there
 	uses    map[string][]Use           // entry to what runs from there
 	store   int                        // loads from the store under way
-	changed bool                       // what entries know of the engines is out of date
+	settled []Settled
+	changed bool // what entries know of the engines is out of date
 }
 
 // model is what is known of the demand for one model.
--- a/internal/core/fleet/results.go
+++ b/internal/core/fleet/results.go
@@ -17,19 +17,19 @@
 		e.accepted(now, o)
 	case Holds:
 		e.apply(o, now)
-		p.finish(e)
+		p.finish(now, e, "held already")
 	case Unanswered:
 		// It may still be carried out. The slot stays taken until a report
 		// shows a sequence number beyond it, or the same one: then the order
 		// is given again under that number, which bars the first copy.
 		e.doubt = true
 	case Unsent:
-		p.finish(e)
+		p.finish(now, e, "not sent")
 		e.shunned = now.Add(p.cfg.Backoff)
 	case Gone:
 		p.drop(e)
 	default: // Busy, Fenced, Rejected
-		p.finish(e)
+		p.finish(now, e, a.String())
 		e.doubt = true
 	}
 }
@@ -65,12 +65,13 @@
 			continue
 		}
 		e.apply(o.Order, now)
-		p.finish(e)
+		p.finish(now, e, "expected time passed")
 	}
 }
 
 // finish frees the engine for its next order.
-func (p *Planner) finish(e *engine) {
+func (p *Planner) finish(now time.Time, e *engine, result string) {
+	p.settled = append(p.settled, Settled{Order: e.order.Order, Result: result, Took: now.Sub(e.order.given)})
 	p.endOrder(e)
 	p.changed = true
 }
@@ -118,7 +119,7 @@
 		// comes next bears the same sequence number, and only one of the two
 		// can be accepted.
 		p.takeReport(now, e, r)
-		p.finish(e)
+		p.finish(now, e, "not carried out so far")
 	}
 }
 
@@ -131,7 +132,7 @@
 		return // the report lags behind the engine
 	}
 	p.takeReport(now, e, r)
-	p.finish(e)
+	p.finish(now, e, "reported")
 }
 
 // shows reports whether r has the order's effect.
--- a/internal/core/fleet/types.go
+++ b/internal/core/fleet/types.go
@@ -69,6 +69,14 @@
 	Want     Want
 	Expected uint64 // sequence number at which it was decided
 	Source   Source // where a load is expected to come from
+	Reason   string // what decided it, for logs
+}
+
+// Settled tells how an order ended, for logs and counters.
+type Settled struct {
+	Order
+	Result string
+	Took   time.Duration
 }
 
 // Source is where an engine loads weights from.
