--- a/internal/app/daemon/docs_test.go
+++ b/internal/app/daemon/docs_test.go
@@ -14,6 +14,7 @@
 
 const (
 	operatorsPage = "../../../docs/OPERATORS.md"
+	onCallPage    = "../../../docs/OPERATIONS.md"
 	tableBegin    = "<!-- settings, made from the flags; do not edit -->"
 	tableEnd      = "<!-- end of settings -->"
 )
@@ -73,7 +74,10 @@
 	is := is.New(t)
 	page, err := os.ReadFile(operatorsPage)
 	is.NoErr(err)
-	err = filepath.WalkDir("../..", func(path string, d os.DirEntry, err error) error {
+	onCall, err := os.ReadFile(onCallPage)
+	is.NoErr(err)
+	page = append(page, onCall...)
+	err = filepath.WalkDir("../../..", func(path string, d os.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
@@ -92,3 +96,42 @@
 	})
 	is.NoErr(err)
 }
+
+var (
+	citedMetric = regexp.MustCompile("`(cassiapass_[a-z_]+)`")
+	citedEvent  = regexp.MustCompile("`([a-z]+(?:_[a-z]+)+)`")
+)
+
+// Every metric and event that the on-call page cites exists in the code: a page
+// that names what is no longer written sends its reader nowhere.
+func TestOnCallPageCitesWhatExists(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(onCallPage)
+	is.NoErr(err)
+	var code strings.Builder
+	err = filepath.WalkDir("../../..", func(path string, d os.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		src, err := os.ReadFile(path)
+		code.Write(src)
+		return err
+	})
+	is.NoErr(err)
+	for _, m := range citedMetric.FindAllStringSubmatch(string(page), -1) {
+		if !strings.Contains(code.String(), m[1]) {
+			t.Errorf("the on-call page cites metric %s, which nothing measures", m[1])
+		}
+	}
+	_, events, found := strings.Cut(string(page), "## Events")
+	is.True(found)
+	events, _, found = strings.Cut(events, "## Metrics")
+	is.True(found)
+	for _, m := range citedEvent.FindAllStringSubmatch(events, -1) {
+		// The events at the end of a request and of an attempt are put together.
+		_, ending, _ := strings.Cut(m[1], "_")
+		if !strings.Contains(code.String(), `"`+m[1]+`"`) && !strings.Contains(code.String(), `"`+ending+`"`) {
+			t.Errorf("the on-call page cites event %s, which nothing logs", m[1])
+		}
+	}
+}
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -144,15 +144,19 @@
 	}
 }
 
+func testConfig() Config {
+	return Config{
+		Host: "entry-1", Zone: "a", Listen: "127.0.0.1:0", Dialect: testDialect{}, RetryShare: 0.2, RetrySlack: 64, Log: zerolog.Nop(),
+		Decode: func(string) (*deploy.Config, error) { return testDeployment(), nil },
+		List:   func(context.Context) ([]fleet.Endpoint, error) { return nil, errors.New("no list") },
+	}
+}
+
 // startGateway runs a gateway in front of the given backends, which are called
 // e0, e1 and so on.
 func startGateway(t *testing.T, bs ...*backend) *Gateway {
 	t.Helper()
-	g, err := New(Config{
-		Host: "entry-1", Zone: "a", Listen: "127.0.0.1:0", Dialect: testDialect{}, RetryShare: 0.2, RetrySlack: 64, Log: zerolog.Nop(),
-		Decode: func(string) (*deploy.Config, error) { return testDeployment(), nil },
-		List:   func(context.Context) ([]fleet.Endpoint, error) { return nil, errors.New("no list") },
-	})
+	g, err := New(testConfig())
 	if err != nil {
 		t.Fatal(err)
 	}
