--- /dev/null
+++ b/internal/app/controller/controller_test.go
@@ -0,0 +1,224 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/cassiapass/cassiapass/internal/app/control"
+	"github.com/cassiapass/cassiapass/internal/core/deploy"
+	"github.com/cassiapass/cassiapass/internal/core/fleet"
+	"github.com/cassiapass/cassiapass/internal/core/state"
+	"github.com/cassiapass/cassiapass/internal/wire"
+)
+
+// testLead is a control host whose lead a test sets.
+type testLead struct {
+	mu        sync.Mutex
+	lead      control.Lead
+	confirmed bool
+	dep       state.Deployment
+}
+
+func (l *testLead) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+func (l *testLead) Lead() control.Lead {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lead
+}
+
+func (l *testLead) ConfirmLead(context.Context, uint64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.confirmed {
+		return errors.New("no quorum confirms it")
+	}
+	return nil
+}
+
+func (l *testLead) LeaderAddr() string { return "10.0.0.2:7000" }
+
+func (l *testLead) Members() []string { return []string{"10.0.0.1:7000", "10.0.0.2:7000"} }
+
+func (l *testLead) DeploymentHere() state.Deployment { return l.dep }
+
+// testFleet is one engine that holds nothing and has every model on its disk.
+type testFleet struct {
+	mu     sync.Mutex
+	answer fleet.Answer
+	orders []fleet.Order
+	fences []uint64
+}
+
+func (f *testFleet) List(context.Context) ([]fleet.Endpoint, error) {
+	return []fleet.Endpoint{{ID: "e0", Service: "llm", Addr: "10.1.0.1:8000", Slots: 8, Copies: fleet.Copies{Disk: []string{"m"}}}}, nil
+}
+
+func (f *testFleet) Report(context.Context, fleet.Query) (fleet.Report, error) {
+	return fleet.Report{Copies: fleet.Copies{Disk: []string{"m"}}}, nil
+}
+
+func (f *testFleet) Order(_ context.Context, o fleet.Order, fence uint64) fleet.Answer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders, f.fences = append(f.orders, o), append(f.fences, fence)
+	return f.answer
+}
+
+func (f *testFleet) given() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.orders)
+}
+
+func (f *testFleet) lastFence() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fences[len(f.fences)-1]
+}
+
+func begin(t *testing.T, lead *testLead, fl *testFleet) *Controller {
+	t.Helper()
+	dep := &deploy.Config{Version: 3, Services: map[string]*deploy.Service{"llm": {Name: "llm", Engine: &deploy.Engine{
+		Slots: 8, Weights: 83000, AdapterPlaces: 2, Models: map[string]*deploy.Model{"m": {Name: "m", Megabytes: 20000, FromDisk: 50 * time.Millisecond}},
+	}}}}
+	c := New(Config{Fleet: fl, Decode: func(string) (*deploy.Config, error) { return dep, nil }, Plan: fleet.DefaultConfig(), Log: zerolog.Nop()})
+	c.Run(lead)
+	t.Cleanup(c.Stop)
+	return c
+}
+
+func leading(term uint64) *testLead {
+	return &testLead{lead: control.Lead{Leading: true, Term: term}, confirmed: true, dep: state.Deployment{Version: 3, Text: "x", Revision: 9}}
+}
+
+func pull(t *testing.T, c *Controller, p wire.PullParams) wire.PullResult {
+	t.Helper()
+	raw, err := json.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := c.Handle(t.Context(), wire.MethodPull, raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res.(wire.PullResult)
+}
+
+func want(t *testing.T, c *Controller) {
+	t.Helper()
+	raw, err := json.Marshal(wire.TellParams{Host: "entry-1", Demands: []fleet.Demand{{Want: fleet.Want{Model: "m"}, Arrived: 1, Waiting: 1, Earliest: time.Second}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Handle(t.Context(), wire.MethodTell, raw); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for begin := time.Now(); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(begin) > 5*time.Second {
+			t.Fatal("not within 5s: " + what)
+		}
+	}
+}
+
+func TestPullTellsWhatIsMissingAndWaitsOtherwise(t *testing.T) {
+	is := is.New(t)
+	c := begin(t, leading(7), &testFleet{answer: fleet.Accepted})
+	var r wire.PullResult
+	eventually(t, "endpoints are told", func() bool {
+		r = pull(t, c, wire.PullParams{Host: "entry-1", Hold: 50 * time.Millisecond, First: true})
+		return r.Endpoints != nil && r.Deployment != nil
+	})
+	is.Equal(r.Deployment.Version, uint64(3))
+	is.Equal(len(r.Members), 2)
+	have := wire.PullParams{Host: "entry-1", Hold: 100 * time.Millisecond, Term: r.Term, Rev: r.Rev, Version: 3}
+	at := time.Now()
+	r = pull(t, c, have)
+	is.True(r.Endpoints == nil && r.Deployment == nil)
+	is.True(time.Since(at) >= 90*time.Millisecond) // held, not polled
+	is.Equal(r.Entries, 1)
+
+	go func() {
+		time.Sleep(30 * time.Millisecond)
+		c.Deployed(state.Deployment{Version: 4, Text: "y"})
+	}()
+	have.Hold = time.Second
+	at = time.Now()
+	r = pull(t, c, have)
+	is.Equal(r.Deployment.Version, uint64(4))
+	is.True(time.Since(at) < 500*time.Millisecond) // told at once
+}
+
+// Symptom: an entry that has just started serves a deployment of long ago.
+// Sequence: it asks a leader that was cut off and does not know it yet.
+// Cause: a beginner takes whatever it is told.
+func TestBeginnerIsToldOnlyByAConfirmedLeader(t *testing.T) {
+	is := is.New(t)
+	lead := leading(7)
+	lead.confirmed = false
+	c := begin(t, lead, &testFleet{})
+	r := pull(t, c, wire.PullParams{Host: "entry-1", First: true})
+	is.True(!r.Leading && r.Deployment == nil)
+	is.Equal(r.Leader, "10.0.0.2:7000") // whom to ask instead
+}
+
+func TestFollowerSendsEntriesToTheLeader(t *testing.T) {
+	is := is.New(t)
+	lead := leading(7)
+	lead.lead.Leading = false
+	c := begin(t, lead, &testFleet{})
+	r := pull(t, c, wire.PullParams{Host: "entry-1", Version: 3})
+	is.True(!r.Leading)
+	is.Equal(r.Leader, "10.0.0.2:7000")
+}
+
+// Symptom: an engine gets an order from a leader that leads no more.
+// Sequence: the leader was frozen; it wakes and acts before it hears anything.
+func TestOrdersNeedAConfirmedLead(t *testing.T) {
+	is := is.New(t)
+	lead := leading(7)
+	fl := &testFleet{answer: fleet.Accepted}
+	c := begin(t, lead, fl)
+	eventually(t, "list read", func() bool { return pull(t, c, wire.PullParams{Host: "entry-1"}).Endpoints != nil })
+	lead.set(func() { lead.confirmed = false })
+	want(t, c)
+	time.Sleep(600 * time.Millisecond)
+	is.Equal(fl.given(), 0)
+	lead.set(func() { lead.confirmed = true })
+	eventually(t, "an order is given", func() bool { want(t, c); return fl.given() > 0 })
+	is.Equal(fl.lastFence(), uint64(7)) // under the leader's term
+}
+
+// Symptom: a leader that was replaced goes on giving orders under its old number.
+// Sequence: an engine refuses it because of a newer leader.
+func TestFencedLeaderStopsUntilItLeadsAnew(t *testing.T) {
+	is := is.New(t)
+	lead := leading(7)
+	fl := &testFleet{answer: fleet.Fenced}
+	c := begin(t, lead, fl)
+	eventually(t, "an order is given", func() bool { want(t, c); return fl.given() > 0 })
+	time.Sleep(100 * time.Millisecond)
+	n := fl.given()
+	for range 10 {
+		want(t, c)
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Equal(fl.given(), n)
+	lead.set(func() { lead.lead.Term = 9 })
+	eventually(t, "orders go on under the next term", func() bool { want(t, c); return fl.given() > n && fl.lastFence() == 9 })
+}
