Entries are told what changed; files split by job

Cause: every change of an engine sent all endpoints to all entries: 4 kB at 22 endpoints, some 170 kB at the 1,100 of the size to design for.

Change: the board keeps the revision that changed each endpoint last and tells that, with what was removed; another leader's numbers, or ones too old, get the whole list. An endpoint's word that it lacks a model holds for 0.3 s.

--- a/internal/app/controller/board.go
+++ b/internal/app/controller/board.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"reflect"
 	"sync"
 	"time"
 
@@ -16,7 +17,9 @@
 	leading bool
 	term    uint64
 	rev     uint64
-	eps     []fleet.Endpoint
+	eps     map[fleet.EndpointID]shown
+	removed map[fleet.EndpointID]uint64 // to the revision that removed it
+	floor   uint64                      // removals up to here are forgotten
 	runs    map[fleet.EndpointID]int
 	count   int
 	read    time.Time // of the platform's list
@@ -24,7 +27,21 @@
 	changed chan struct{} // closed and replaced at each change worth telling
 }
 
-func newBoard() *board { return &board{changed: make(chan struct{})} }
+// shown is an endpoint with the revision that changed it last.
+type shown struct {
+	rev uint64
+	ep  fleet.Endpoint
+}
+
+// mostRemoved bounds the removals kept for entries that lag; those further
+// behind get the whole list.
+const mostRemoved = 1000
+
+func newBoard() *board {
+	b := &board{changed: make(chan struct{})}
+	b.clear()
+	return b
+}
 
 // set changes the board and wakes waiting calls.
 func (b *board) set(f func()) {
@@ -35,14 +52,59 @@
 	b.changed = make(chan struct{})
 }
 
-func (b *board) retire() { b.set(func() { b.leading, b.rev, b.eps = false, 0, nil }) }
+func (b *board) retire() { b.set(func() { b.leading = false; b.clear() }) }
+
+func (b *board) clear() {
+	b.rev, b.floor = 0, 0
+	b.eps, b.removed = map[fleet.EndpointID]shown{}, map[fleet.EndpointID]uint64{}
+}
 
 func (b *board) lead(term uint64) {
-	b.set(func() { b.leading, b.term, b.rev, b.eps, b.read = true, term, 0, nil, time.Time{} })
+	b.set(func() { b.leading, b.term, b.read = true, term, time.Time{}; b.clear() })
 }
 
+// endpoints shows a new state of all endpoints. Entries are told what changed
+// since the revision that they hold: the whole list would be 170 kB for each
+// change at 1,100 endpoints.
 func (b *board) endpoints(rev uint64, eps []fleet.Endpoint) {
-	b.set(func() { b.rev, b.eps = rev, eps })
+	b.set(func() {
+		b.rev = rev
+		listed := make(map[fleet.EndpointID]bool, len(eps))
+		for _, ep := range eps {
+			listed[ep.ID] = true
+			delete(b.removed, ep.ID)
+			if old, known := b.eps[ep.ID]; !known || !reflect.DeepEqual(old.ep, ep) {
+				b.eps[ep.ID] = shown{rev, ep}
+			}
+		}
+		for id := range b.eps {
+			if !listed[id] {
+				delete(b.eps, id)
+				b.removed[id] = rev
+			}
+		}
+		if len(b.removed) > mostRemoved {
+			b.floor, b.removed = rev, map[fleet.EndpointID]uint64{}
+		}
+	})
+}
+
+// news fills in what an entry that holds revision from lacks. The caller holds
+// mu.
+func (b *board) news(r *wire.PullResult, term, from uint64) {
+	r.Delta = term == b.term && from != 0 && from >= b.floor
+	var out []fleet.Endpoint
+	for _, s := range b.eps {
+		if !r.Delta || s.rev > from {
+			out = append(out, s.ep)
+		}
+	}
+	for id, rev := range b.removed {
+		if r.Delta && rev > from {
+			r.Removed = append(r.Removed, id)
+		}
+	}
+	r.Endpoints = &out
 }
 
 // deploy takes a deployment in; an older one is ignored.
@@ -89,7 +151,8 @@
 	}
 	news := false
 	if b.rev != 0 && (b.term != p.Term || b.rev != p.Rev) {
-		r.Endpoints, news = &b.eps, true
+		b.news(&r, p.Term, p.Rev)
+		news = true
 	}
 	if b.dep.Version > p.Version {
 		d := b.dep
--- a/internal/app/controller/controller_test.go
+++ b/internal/app/controller/controller_test.go
@@ -222,3 +222,36 @@
 	lead.set(func() { lead.lead.Term = 9 })
 	eventually(t, "orders go on under the next term", func() bool { want(t, c); return fl.given() > n && fl.lastFence() == 9 })
 }
+
+// Symptom: control's messages grow with the square of the fleet.
+// Sequence: one endpoint of many changes.
+// Cause: every entry gets the whole list each time.
+func TestEntriesAreToldOnlyWhatChanged(t *testing.T) {
+	is := is.New(t)
+	b := newBoard()
+	b.lead(7)
+	ep := func(id string, held ...string) fleet.Endpoint {
+		e := fleet.Endpoint{ID: fleet.EndpointID(id)}
+		for _, m := range held {
+			e.Held = append(e.Held, fleet.Held{Model: m})
+		}
+		return e
+	}
+	b.endpoints(1, []fleet.Endpoint{ep("a", "m"), ep("b"), ep("c")})
+	r, news, _ := b.answer(wire.PullParams{})
+	is.True(news && !r.Delta)
+	is.Equal(len(*r.Endpoints), 3)
+	b.endpoints(2, []fleet.Endpoint{ep("a", "m"), ep("b", "n"), ep("c")})
+	b.endpoints(3, []fleet.Endpoint{ep("a", "m"), ep("b", "n"), ep("d")})
+	r, _, _ = b.answer(wire.PullParams{Term: 7, Rev: 2})
+	is.True(r.Delta)
+	is.Equal(*r.Endpoints, []fleet.Endpoint{ep("d")})
+	is.Equal(r.Removed, []fleet.EndpointID{"c"})
+	r, _, _ = b.answer(wire.PullParams{Term: 7, Rev: 1})
+	is.Equal(len(*r.Endpoints), 2)
+	r, _, _ = b.answer(wire.PullParams{Term: 6, Rev: 3}) // another leader's numbers
+	is.True(!r.Delta)
+	is.Equal(len(*r.Endpoints), 3)
+	_, news, _ = b.answer(wire.PullParams{Term: 7, Rev: 3})
+	is.True(!news)
+}
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -17,6 +17,9 @@
 	unreachable = time.Second
 	// refused is how long an endpoint that said it is full is left alone.
 	refused = 50 * time.Millisecond
+	// lacksFor is how long an endpoint's word that it does not hold a model goes
+	// before what the leader tells: the leader asks it meanwhile.
+	lacksFor = 300 * time.Millisecond
 	// failingWeight is what one outcome weighs in the share of failures.
 	failingWeight = 0.1
 	// failingHalfLife is the time in which a share of failures halves without
@@ -50,8 +53,8 @@
 	failing float64
 	judged  time.Time
 	shunned time.Time
-	dropped bool                // no list shows it any more; kept while requests run there
-	lacks   map[fleet.Want]bool // it said so since the directory was last told
+	dropped bool                     // no list shows it any more; kept while requests run there
+	lacks   map[fleet.Want]time.Time // it said so, and when
 	runs    map[fleet.Want]*runs
 }
 
@@ -80,43 +83,68 @@
 	d.wake()
 }
 
+// update takes in what changed since the revision held.
+func (d *directory) update(term, rev uint64, changed []fleet.Endpoint, removed []fleet.EndpointID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.term, d.rev = term, rev
+	for _, ep := range changed {
+		d.put(ep, true)
+	}
+	for _, id := range removed {
+		if e, known := d.byID[id]; known {
+			d.drop(e)
+		}
+	}
+	d.wake()
+}
+
 // merge takes endpoints in. Whoever is not listed is gone.
 func (d *directory) merge(eps []fleet.Endpoint, models bool) {
 	listed := make(map[fleet.EndpointID]bool, len(eps))
 	for _, ep := range eps {
 		listed[ep.ID] = true
-		e, known := d.byID[ep.ID]
-		if !known {
-			d.note(ep, "endpoint_up")
-			d.byID[ep.ID] = &endpoint{Endpoint: ep, lacks: map[fleet.Want]bool{}, runs: map[fleet.Want]*runs{}}
-			continue
-		}
-		e.dropped = false
-		if ep.Leaving && !e.Leaving {
-			d.note(ep, "endpoint_leaving")
-		}
-		if !models {
-			// The list lags behind the leader's knowledge of models; only what
-			// it alone tells is taken from it.
-			e.Leaving = ep.Leaving
-			continue
-		}
-		e.Endpoint = ep
-		clear(e.lacks)
+		d.put(ep, models)
 	}
 	for id, e := range d.byID {
 		if !listed[id] {
-			if !e.dropped {
-				d.note(e.Endpoint, "endpoint_gone")
-			}
-			e.Leaving, e.dropped = true, true
-			if e.mine == 0 {
-				delete(d.byID, id)
-			}
+			d.drop(e)
 		}
 	}
 }
 
+// put takes one endpoint in. Without models only what the platform's list alone
+// tells is taken: it lags behind the leader's knowledge of models.
+func (d *directory) put(ep fleet.Endpoint, models bool) {
+	e, known := d.byID[ep.ID]
+	if !known {
+		d.note(ep, "endpoint_up")
+		d.byID[ep.ID] = &endpoint{Endpoint: ep, lacks: map[fleet.Want]time.Time{}, runs: map[fleet.Want]*runs{}}
+		return
+	}
+	e.dropped = false
+	if ep.Leaving && !e.Leaving {
+		d.note(ep, "endpoint_leaving")
+	}
+	if !models {
+		e.Leaving = ep.Leaving
+		return
+	}
+	e.Endpoint = ep
+	clear(e.lacks)
+}
+
+// drop forgets an endpoint as soon as no request runs there.
+func (d *directory) drop(e *endpoint) {
+	if !e.dropped {
+		d.note(e.Endpoint, "endpoint_gone")
+	}
+	e.Leaving, e.dropped = true, true
+	if e.mine == 0 {
+		delete(d.byID, e.ID)
+	}
+}
+
 // note tells what this entry believes of an endpoint from now on.
 func (d *directory) note(ep fleet.Endpoint, event string) {
 	d.log.Info().Str("endpoint", string(ep.ID)).Str("service", ep.Service).Str("address", ep.Addr).Str("zone", string(ep.Zone)).
@@ -254,7 +282,7 @@
 // cannot returns why an endpoint cannot take a request now, or "".
 func (e *endpoint) cannot(now time.Time, want fleet.Want) why {
 	switch {
-	case want.Model != "" && (!e.holdsWant(want) || e.lacks[want]):
+	case want.Model != "" && (!e.holdsWant(want) || now.Sub(e.lacks[want]) < lacksFor):
 		return whyCold
 	case now.Before(e.shunned):
 		return whyFull
@@ -322,7 +350,8 @@
 		e.shunned = later(e.shunned, now.Add(refused))
 		time.AfterFunc(refused, d.poke)
 	case lacking:
-		e.lacks[want] = true
+		e.lacks[want] = now
+		time.AfterFunc(lacksFor, d.poke)
 	case unsent:
 		d.note(e.Endpoint, "endpoint_shunned")
 		e.judge(now, 1)
@@ -391,7 +420,7 @@
 	var out []fleet.Use
 	for id, e := range d.byID {
 		for w, r := range e.runs {
-			out = append(out, fleet.Use{Endpoint: id, Want: w, Running: r.running, Begun: r.begun, Missing: e.lacks[w]})
+			out = append(out, fleet.Use{Endpoint: id, Want: w, Running: r.running, Begun: r.begun, Missing: !e.lacks[w].IsZero()})
 			r.begun = 0
 			if r.running == 0 {
 				delete(e.runs, w)
--- /dev/null
+++ b/internal/app/gateway/stop.go
@@ -0,0 +1,81 @@
+package gateway
+
+import "time"
+
+const (
+	// drainIdle is how long kept connections may still carry requests after
+	// the stop was announced: the platform notices after two missed checks, a
+	// second apart.
+	drainIdle  = 2500 * time.Millisecond
+	drainCheck = 50 * time.Millisecond
+	// finalAnswers is how long the last answers may take to leave.
+	finalAnswers = 150 * time.Millisecond
+)
+
+// stopping is a graceful shutdown under way.
+type stopping struct {
+	begin time.Time
+	end   time.Time
+}
+
+// tooLate reports whether a request that may take as long as limit comes too
+// late to be taken in. Symptom without it: a stream that was begun 6 s after
+// the stop was announced is cut when the process ends 2 s later. Callers still
+// come that late on kept connections, and on new ones where few other entries
+// are left. A refused one goes to another entry at once.
+func (s *stopping) tooLate(now time.Time, limit time.Duration) bool {
+	return now.Sub(s.begin) > drainIdle && now.Add(limit).After(s.end)
+}
+
+// Stop is a graceful shutdown: it says that it is not ready, serves what still
+// comes on open connections as long as that can end in time, closes those that
+// stay idle and returns when no request is under way, or when grace has passed.
+func (g *Gateway) Stop(grace time.Duration) {
+	begin := time.Now()
+	g.stopAt.Store(&stopping{begin, begin.Add(grace)})
+	g.draining.Store(true)
+	for time.Since(begin) < grace {
+		if time.Since(begin) > drainIdle && g.idle() {
+			break
+		}
+		time.Sleep(drainCheck)
+	}
+	g.cancel() // what still waits for an endpoint is told that it did not run
+	for range finalAnswers / drainCheck {
+		if g.inflight.Load() == 0 {
+			break
+		}
+		time.Sleep(drainCheck)
+	}
+	g.cfg.Log.Info().Int64("cut", g.inflight.Load()).Dur("took", time.Since(begin)).Msg("entry_stopped")
+	g.Kill()
+}
+
+// idle reports whether no request is under way, and keeps it so. Symptom without
+// the second look: a request that arrives between the look and the end of the
+// process is begun, cut off and in doubt. Each request counts itself before it
+// looks at ending, so either it is refused or the second look sees it.
+func (g *Gateway) idle() bool {
+	g.closeIdle()
+	if g.inflight.Load() > 0 {
+		return false
+	}
+	g.ending.Store(true)
+	return g.inflight.Load() == 0
+}
+
+func (g *Gateway) closeIdle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c, busy := range g.conns {
+		if !busy {
+			c.Interrupt()
+		}
+	}
+}
+
+// Kill stops at once.
+func (g *Gateway) Kill() {
+	g.cancel()
+	_ = g.listener.Close()
+}
--- a/internal/app/gateway/syncer.go
+++ b/internal/app/gateway/syncer.go
@@ -129,7 +129,11 @@
 	if r.Deployment != nil {
 		s.g.deployed(*r.Deployment)
 	}
-	if r.Endpoints != nil {
+	switch {
+	case r.Endpoints == nil:
+	case r.Delta:
+		s.g.dir.update(r.Term, r.Rev, *r.Endpoints, r.Removed)
+	default:
 		s.g.dir.replace(r.Term, r.Rev, *r.Endpoints)
 	}
 	if r.ListAge >= 0 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -275,8 +275,10 @@
 	Members    []string                 `json:"members,omitempty"`
 	Term       uint64                   `json:"term"`
 	Rev        uint64                   `json:"rev"`
-	Endpoints  *[]fleet.Endpoint        `json:"endpoints,omitempty"`
-	ListAge    time.Duration            `json:"listAge"` // since the platform's list was read
+	Endpoints  *[]fleet.Endpoint        `json:"endpoints,omitempty"` // all, or with Delta those that changed
+	Delta      bool                     `json:"delta,omitempty"`
+	Removed    []fleet.EndpointID       `json:"removed,omitempty"` // with Delta
+	ListAge    time.Duration            `json:"listAge"`           // since the platform's list was read
 	Running    map[fleet.EndpointID]int `json:"running,omitempty"`
 	Deployment *state.Deployment        `json:"deployment,omitempty"`
 	Entries    int                      `json:"entries"` // entries heard lately
