A request that waits is refused in time by a stop, not begun and cut

Only requests that arrived late were refused.

Test: TestRequestThatWaitsIsRefusedInTimeByAStop (fails before).

--- a/internal/app/ctl/trace.go
+++ b/internal/app/ctl/trace.go
@@ -250,6 +250,7 @@
 		"all_full":     "every endpoint that held its model was full",
 		"all_tried":    "every endpoint had been tried",
 		"retry_budget": "the retry budget was used up",
+		"stopping":     "its entry was stopping and an answer could not have ended in time",
 	}[reason]
 	if !known {
 		return reason
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -217,6 +217,7 @@
 	whyCold     why = "not_loaded"  // none holds the model
 	whyFull     why = "all_full"    // all that hold it are full
 	whyExcluded why = "all_tried"   // all that hold it were tried
+	whyStopping why = "stopping"    // this entry stops before an answer could end
 )
 
 // take picks an endpoint for a request and counts the request there. Without
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -80,7 +80,7 @@
 	if x.route = t.Find(r.Host, r.Path); x.route == nil {
 		return x.end(http.StatusNotFound, "no_route", nil, []byte("no route leads there\n"))
 	}
-	if st := g.stopAt.Load(); g.ending.Load() || (st != nil && st.tooLate(x.arrived, x.route.Timeout)) {
+	if g.stoppingFor(x.route) {
 		c.CloseAfter()
 		return x.refuse(http.StatusServiceUnavailable, "stopping")
 	}
@@ -193,6 +193,11 @@
 	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	for {
+		if x.g.stoppingFor(x.route) {
+			// Sent now, its answer could not end before the process does.
+			x.reason = whyStopping
+			return nil
+		}
 		e, reason, changed := x.g.dir.take(time.Now(), x.service, x.ask.Want, x.tried)
 		if e != nil {
 			return e
--- a/internal/app/gateway/requests_test.go
+++ b/internal/app/gateway/requests_test.go
@@ -330,3 +330,26 @@
 	is.True(a.closes)
 	is.Equal(b.arrivals(), 0)
 }
+
+// Symptom: a stream that was begun 6 s into a planned stop is cut.
+// Sequence: a request waits for its model when the stop is announced; the model
+// comes shortly before the process ends.
+// Cause: only requests that arrive late were refused, not those that wait.
+func TestRequestThatWaitsIsRefusedInTimeByAStop(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, answerOK)
+	g := startGateway(t, b)
+	g.table.Load().Config().Routes[2].Timeout = 12 * time.Second
+	c := dial(t, g)
+	c.send("POST", "/stream/", "r1", "x", "Model: rare", "Left: 12000")
+	for len(g.demands.tell(time.Now())) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	begin := time.Now()
+	go g.Stop(7 * time.Second)
+	a := c.receive()
+	is.Equal(a.status, 503)
+	is.True(a.header.Get("Retry-After") != "")
+	is.True(time.Since(begin) < drainIdle+time.Second) // with time left to be served elsewhere
+	is.Equal(b.arrivals(), 0)
+}
--- a/internal/app/gateway/stop.go
+++ b/internal/app/gateway/stop.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/cassiapass/cassiapass/internal/core/deploy"
+)
 
 const (
 	// drainIdle is how long kept connections may still carry requests after
@@ -27,6 +31,13 @@
 	return now.Sub(s.begin) > drainIdle && now.Add(limit).After(s.end)
 }
 
+// stoppingFor reports whether nothing more may be sent for a route because the
+// process stops.
+func (g *Gateway) stoppingFor(r *deploy.Route) bool {
+	st := g.stopAt.Load()
+	return g.ending.Load() || (st != nil && st.tooLate(time.Now(), r.Timeout))
+}
+
 // Stop is a graceful shutdown: it says that it is not ready, serves what still
 // comes on open connections as long as that can end in time, closes those that
 // stay idle and returns when no request is under way, or when grace has passed.
@@ -34,6 +45,10 @@
 	begin := time.Now()
 	g.stopAt.Store(&stopping{begin, begin.Add(grace)})
 	g.draining.Store(true)
+	// What waits for an endpoint is asked again whether it still may. Symptom
+	// without it: a request that waited 6 s for its model is begun just before
+	// the end, and its stream is cut.
+	time.AfterFunc(drainIdle+drainCheck, g.dir.poke)
 	for time.Since(begin) < grace {
 		if time.Since(begin) > drainIdle && g.idle() {
 			break
