--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -22,6 +22,11 @@
 	// endpoint. What waits longer could hardly be answered in what is left, and
 	// the caller has better use for the rest of its time.
 	holdShare = 0.45
+	// patienceShare is the share of a caller's patience with a silent stream after
+	// which it is told to come back instead. One that leaves by itself learns
+	// nothing and is lost; one that is refused asks again when its model may be
+	// there. A cold start takes 1 s, and the least patience is 2 s.
+	patienceShare = 0.6
 	// leastLeft is the time below which nothing is sent any more: not even an
 	// idle endpoint answers within it.
 	leastLeft = 20 * time.Millisecond
@@ -182,7 +187,7 @@
 // acquire waits for an endpoint that can take the request now.
 func (x *exchange) acquire(ctx context.Context) *endpoint {
 	begin := time.Now()
-	hold := time.Duration(float64(time.Until(x.until)) * holdShare)
+	hold := x.hold(begin)
 	waits := false
 	defer func() {
 		if waits {
@@ -222,6 +227,16 @@
 	}
 }
 
+// hold returns how long the request may wait for an endpoint from now on.
+func (x *exchange) hold(now time.Time) time.Duration {
+	hold := time.Duration(float64(x.until.Sub(now)) * holdShare)
+	if x.route.Patience > 0 {
+		patience := time.Duration(float64(x.route.Patience) * patienceShare)
+		hold = min(hold, x.arrived.Add(patience).Sub(now))
+	}
+	return max(hold, 0)
+}
+
 // finish sends the final answer, if one is still to be sent.
 func (x *exchange) finish(f fate, cause error) bool {
 	switch {
--- a/internal/app/gateway/requests_test.go
+++ b/internal/app/gateway/requests_test.go
@@ -353,3 +353,19 @@
 	is.True(time.Since(begin) < drainIdle+time.Second) // with time left to be served elsewhere
 	is.Equal(b.arrivals(), 0)
 }
+
+// Symptom: callers of a cold model leave without an answer and do not come back.
+// Sequence: callers leave a stream that is silent for 1 s; the model takes 2 s.
+// Cause: the request is held until half of its time limit, which is far longer.
+func TestCallerIsToldToComeBackBeforeItLosesPatience(t *testing.T) {
+	is := is.New(t)
+	g := startGateway(t, newBackend(t, answerOK))
+	g.table.Load().Config().Routes[2].Timeout = 12 * time.Second
+	g.table.Load().Config().Routes[2].Patience = time.Second
+	begin := time.Now()
+	a := dial(t, g).ask("POST", "/stream/", "r1", "x", "Model: rare", "Left: 12000")
+	took := time.Since(begin)
+	is.Equal(a.status, 503)
+	is.True(a.header.Get("Retry-After") != "")
+	is.True(took > 500*time.Millisecond && took < 800*time.Millisecond)
+}
--- a/internal/core/deploy/deploy.go
+++ b/internal/core/deploy/deploy.go
@@ -35,6 +35,7 @@
 	Timeout   time.Duration // longest time a caller is kept waiting
 	Objective time.Duration // answers within it earn full credit
 	MaxGap    time.Duration // longest pause between events of a stream that is on time
+	Patience  time.Duration // callers leave a stream that is silent for so long, its start included; 0 if they do not
 	Priority  int           // 0 is the most urgent
 	Attempts  int           // endpoints that one request may be run on
 	Resumable bool          // a broken stream may go on at another endpoint
