The store's rate is kept by count, and a slow store gets fewer loads at a time

Cause: the stated rate of the weight store was read and not used; four loads at a time kept within it only where a load takes 6 s. On a deployment with short loads four at a time would exceed it. And four at a time is right for the stores of today; one that serves one at a time would make each take four times as long.

Change: loads from the store are counted over 5 s and kept to 0.8 of the rate; one load that takes 1.4 times its stated time takes one off those allowed at a time, one that takes its time gives it back.

Tests: TestLoadsKeepWithinTheStoresRate, TestSlowStoreGetsFewerLoadsAtATime. An exported wait that nobody used is out."

--- a/internal/app/control/deployment.go
+++ b/internal/app/control/deployment.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"time"
-
-	"github.com/samber/oops"
 
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
 	"github.com/cassiapass/cassiapass/internal/core/state"
@@ -87,19 +84,8 @@
 	return m.Addr
 }
 
-// WaitLeader waits until a leader is known, or fails at once when ctx ends.
-func (c *Control) WaitLeader(ctx context.Context) error {
-	for c.leader() == consensus.None {
-		select {
-		case <-ctx.Done():
-			return oops.Wrap(ErrNoLeader)
-		case <-time.After(tickEvery):
-		}
-	}
-	return nil
-}
-
-// deployed tells the owner of a change of the deployment. It runs in the loop.
+// noteDeployment tells the owner of a change of the deployment. It runs in the
+// loop.
 func (l *loop) noteDeployment() {
 	d := l.st.Deployment()
 	if l.onDeploy == nil || d.Revision == l.toldDeploy {
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -177,6 +177,7 @@
 	e.touched = now
 	if o.Source == FromStore {
 		p.store++
+		p.fetched = append(p.fetched, now)
 	}
 	if o.Op == Unload {
 		p.changed = true // entries stop sending to it
--- a/internal/core/fleet/place.go
+++ b/internal/core/fleet/place.go
@@ -95,7 +95,7 @@
 		return site{}, false
 	}
 	src, takes := e.source(m)
-	if src == FromStore && (!mayFetch || p.store >= p.cfg.StoreAtOnce) {
+	if src == FromStore && (!mayFetch || !p.mayFetch(now, eng)) {
 		return site{}, false
 	}
 	s := site{e: e, source: src, takes: takes, cost: takes.Seconds()}
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -11,10 +11,14 @@
 
 // Config holds the planner's thresholds.
 type Config struct {
-	// StoreAtOnce is how many loads may come from the weight store at a time.
-	// Beyond the store's own concurrency each load takes longer in proportion,
-	// so more of them bring nothing sooner.
+	// StoreAtOnce is how many loads may come from the weight store at a time, at
+	// most. Beyond the store's own concurrency, which nobody tells, each load
+	// takes longer in proportion; where loads take longer than they should,
+	// fewer are begun.
 	StoreAtOnce int
+	// StoreShare is the share of the store's rate that is used. The rest is for
+	// what an earlier leader may have ordered within the same window.
+	StoreShare float64
 	// RateHalfLife is the time in which a model's request rate counts half.
 	RateHalfLife time.Duration
 	// Crowded is the share of an engine's slots in use beyond which a model
@@ -40,6 +44,7 @@
 func DefaultConfig() Config {
 	return Config{
 		StoreAtOnce:    4,
+		StoreShare:     0.8,
 		RateHalfLife:   4 * time.Second, // demand moves to other models within some 5 s
 		Crowded:        0.5,             // half the slots leave room for a burst of twice the rate
 		RatePerReplica: 6,
@@ -60,6 +65,8 @@
 	wants   map[Want]*demand
 	sources map[string]map[Want]Demand // entry to what waits there
 	uses    map[string][]Use           // entry to what runs from there
+	fetched []time.Time                // when loads from the store were ordered lately
+	atOnce  int                        // loads from the store that may be under way
 	store   int                        // loads from the store under way
 	settled []Settled
 	holding map[string][]*engine // model to the engines that hold it, made anew for each plan
@@ -83,7 +90,7 @@
 // New returns a Planner that knows nothing yet.
 func New(cfg Config) *Planner {
 	return &Planner{
-		cfg: cfg, engines: map[EndpointID]*engine{}, models: map[string]*model{}, wants: map[Want]*demand{},
+		cfg: cfg, atOnce: cfg.StoreAtOnce, engines: map[EndpointID]*engine{}, models: map[string]*model{}, wants: map[Want]*demand{},
 		sources: map[string]map[Want]Demand{}, uses: map[string][]Use{},
 	}
 }
--- a/internal/core/fleet/results.go
+++ b/internal/core/fleet/results.go
@@ -157,6 +157,7 @@
 	if !e.order.shows(r) && now.Sub(e.order.due) < p.cfg.Patience {
 		return // the report lags behind the engine
 	}
+	p.learnStore(e.order, now.Sub(e.order.given))
 	p.takeReport(now, e, r)
 	p.finish(now, e, "reported")
 }
--- a/internal/core/fleet/sim_test.go
+++ b/internal/core/fleet/sim_test.go
@@ -498,3 +498,54 @@
 	is.Equal(len(late.Orders), 1)
 	is.Equal(late.Orders[0].Source, FromStore)
 }
+
+// Symptom: more loads begin than the weight store allows.
+// Sequence: many models that lie on no disk are asked for at once; loads are
+// short.
+func TestLoadsKeepWithinTheStoresRate(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 12, 30, 0)
+	eng := s.p.dep.Services["llm"].Engine
+	eng.StoreLoads = 1
+	for _, m := range eng.Models {
+		m.FromStore = 100 * time.Millisecond
+	}
+	for _, e := range s.engines {
+		clear(e.disk)
+	}
+	s.step()
+	s.list()
+	var begun []time.Time
+	for i := range 2000 {
+		s.p.Hear(s.now, "entry", []Demand{{Want: Want{Model: fmt.Sprintf("m%d", i%30)}, Arrived: 1, Waiting: 1}}, nil)
+		before := s.p.store
+		s.step()
+		for range s.p.store - before {
+			begun = append(begun, s.now)
+		}
+	}
+	is.True(len(begun) > 10)
+	for i, at := range begun {
+		n := 0
+		for _, b := range begun[i:] {
+			if b.Sub(at) < storeWindow {
+				n++
+			}
+		}
+		is.True(n <= 5) // one a second
+	}
+}
+
+func TestSlowStoreGetsFewerLoadsAtATime(t *testing.T) {
+	is := is.New(t)
+	p := New(DefaultConfig())
+	o := &underway{Order: Order{Source: FromStore}, takes: 6 * time.Second}
+	for range 10 {
+		p.learnStore(o, 20*time.Second)
+	}
+	is.Equal(p.atOnce, 1)
+	for range 10 {
+		p.learnStore(o, 6100*time.Millisecond)
+	}
+	is.Equal(p.atOnce, p.cfg.StoreAtOnce)
+}
