Usage errors of the daemons go to standard error

Cause: settings.Parse wrote mistakes to standard output; a service manager that keeps standard error showed nothing. Test: TestUsageErrorsGoToStandardError.

--- a/cmd/cassiapass-capacity/main.go
+++ b/cmd/cassiapass-capacity/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	code, err := capacity.Main(os.Args[1:], os.Stdout)
+	code, err := capacity.Main(os.Args[1:], os.Stdout, os.Stderr)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
--- a/cmd/cassiapass-replay/main.go
+++ b/cmd/cassiapass-replay/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	code, err := replay.Main(os.Args[1:], os.Stdin, os.Stdout)
+	code, err := replay.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -198,13 +198,13 @@
 
 // Parse reads args into opts, which has go-flags tags, and then runs check. It
 // returns an exit code and whether the program should go on.
-func Parse(opts any, args []string, out io.Writer, check func(*Checker)) (code int, ok bool) {
+func Parse(opts any, args []string, out, errs io.Writer, check func(*Checker)) (code int, ok bool) {
 	var common struct {
 		Version bool `long:"version" description:"print the version and exit"`
 	}
 	p := flags.NewParser(opts, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := p.AddGroup("General", "", &common); err != nil {
-		fmt.Fprintln(out, err)
+		fmt.Fprintln(errs, err)
 		return ExitUsage, false
 	}
 	rest, err := p.ParseArgs(args)
@@ -217,7 +217,7 @@
 		err = fmt.Errorf("unexpected argument %q", rest[0])
 	}
 	if err != nil {
-		fmt.Fprintln(out, err)
+		fmt.Fprintln(errs, err)
 		return ExitUsage, false
 	}
 	if common.Version {
@@ -227,7 +227,7 @@
 	c := &Checker{}
 	check(c)
 	if len(c.Problems) > 0 {
-		fmt.Fprintln(out, c.Problems.Error())
+		fmt.Fprintln(errs, c.Problems.Error())
 		return ExitUsage, false
 	}
 	return 0, true
--- a/internal/app/capacity/main.go
+++ b/internal/app/capacity/main.go
@@ -41,9 +41,9 @@
 }
 
 // Main runs cassiapass-capacity.
-func Main(args []string, out io.Writer) (int, error) {
+func Main(args []string, out, errs io.Writer) (int, error) {
 	var o mainOptions
-	code, ok := settings.Parse(&o, args, out, func(c *settings.Checker) {
+	code, ok := settings.Parse(&o, args, out, errs, func(c *settings.Checker) {
 		c.Addr("control", o.Control, true)
 		if o.Control != "" && (o.URL == "" || o.PID <= 0) {
 			c.Fail("control-pid", fmt.Sprint(o.PID), "--control needs --control-url and --control-pid")
--- a/internal/app/daemon/agent.go
+++ b/internal/app/daemon/agent.go
@@ -44,7 +44,7 @@
 	var o AgentOptions
 	cfg := agent.DefaultConfig()
 	var level zerolog.Level
-	code, ok := settings.Parse(&o, args, out, func(c *settings.Checker) {
+	code, ok := settings.Parse(&o, args, out, errs, func(c *settings.Checker) {
 		o.Check(c)
 		c.Name("place", o.Place)
 		c.Addrs("control", o.Control)
--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -52,7 +52,7 @@
 	cfg := control.Config{Leases: member.DefaultConfig(), Placement: placement.DefaultConfig()}
 	var token string
 	var level zerolog.Level
-	code, ok := settings.Parse(&o, args, out, func(c *settings.Checker) {
+	code, ok := settings.Parse(&o, args, out, errs, func(c *settings.Checker) {
 		o.Check(c)
 		c.Addr("listen", o.Listen, false)
 		c.Addr("advertise", o.Advertise, true)
--- a/internal/app/daemon/entry.go
+++ b/internal/app/daemon/entry.go
@@ -37,7 +37,7 @@
 	var o EntryOptions
 	cfg := entry.DefaultConfig()
 	var level zerolog.Level
-	code, ok := settings.Parse(&o, args, out, func(c *settings.Checker) {
+	code, ok := settings.Parse(&o, args, out, errs, func(c *settings.Checker) {
 		o.Check(c)
 		c.Addrs("control", o.Control)
 		c.Addr("listen", o.Listen, false)
--- a/internal/app/dev/main.go
+++ b/internal/app/dev/main.go
@@ -36,7 +36,7 @@
 func Main(args []string, out, errs io.Writer) (int, error) {
 	var o Options
 	var level zerolog.Level
-	code, ok := settings.Parse(&o, args, out, func(c *settings.Checker) {
+	code, ok := settings.Parse(&o, args, out, errs, func(c *settings.Checker) {
 		if o.Controls != 1 && o.Controls != 3 && o.Controls != 5 {
 			c.Fail("controls", fmt.Sprint(o.Controls), "1, 3 or 5")
 		}
--- a/internal/app/load/load.go
+++ b/internal/app/load/load.go
@@ -78,7 +78,7 @@
 // Main runs cassiapass-load.
 func Main(args []string, getenv func(string) string, out, errs io.Writer) (int, error) {
 	var o options
-	code, ok := settings.Parse(&o, args, out, func(c *settings.Checker) {
+	code, ok := settings.Parse(&o, args, out, errs, func(c *settings.Checker) {
 		if len(o.Targets) == 0 {
 			c.Fail("url", "", "at least one URL of an entry")
 		}
--- a/internal/app/replay/main.go
+++ b/internal/app/replay/main.go
@@ -26,9 +26,9 @@
 }
 
 // Main runs cassiapass-replay.
-func Main(args []string, in io.Reader, out io.Writer) (int, error) {
+func Main(args []string, in io.Reader, out, errs io.Writer) (int, error) {
 	var o mainOptions
-	code, ok := settings.Parse(&o, args, out, func(c *settings.Checker) {
+	code, ok := settings.Parse(&o, args, out, errs, func(c *settings.Checker) {
 		if _, ok := generators[o.Generate]; !ok {
 			c.Fail("generate", o.Generate, "kyushu, kigali or random")
 		}
