Test of a planned stop leaves a busy host its time; the bound tested to the instant

The entry did right: it closes idle connections from then on.

Change: the run asks 1 s before the bound, by the time since the stop began, and the bound itself is tested to the millisecond without a clock.

--- a/internal/app/gateway/requests_test.go
+++ b/internal/app/gateway/requests_test.go
@@ -297,16 +297,17 @@
 	is.Equal(soon.ask("POST", "/once/", "r1", "x").status, 200)
 	is.Equal(late.ask("POST", "/once/", "r2", "x").status, 200)
 	done := make(chan struct{})
+	begin := time.Now()
 	go func() { g.Stop(4 * time.Second); close(done) }()
 	time.Sleep(100 * time.Millisecond)
 	is.True(g.Ready(t.Context()) != nil)
 	a := soon.ask("POST", "/once/", "r3", "x")
 	is.Equal(a.status, 200)
 	is.True(a.closes)
-	time.Sleep(drainIdle - 300*time.Millisecond)
+	time.Sleep(time.Until(begin.Add(drainIdle - time.Second)))
 	late.send("POST", "/once/", "r4", "x") // still in time
 	is.Equal(late.receive().status, 200)
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(time.Until(begin.Add(drainIdle + 100*time.Millisecond)))
 	refused := dial(t, g).ask("POST", "/once/", "r5", "x")
 	is.Equal(refused.status, 503)
 	is.True(refused.closes)
@@ -369,3 +370,25 @@
 	is.True(a.header.Get("Retry-After") != "")
 	is.True(took > 500*time.Millisecond && took < 800*time.Millisecond)
 }
+
+// Up to when a stopping entry takes a request in, to the instant: the run above
+// leaves a second of margin, which a busy host needs.
+func TestStoppingTakesInWhatCanEnd(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	st := &stopping{begin, begin.Add(8 * time.Second)}
+	cases := []struct {
+		after, limit time.Duration
+		late         bool
+	}{
+		{0, time.Minute, false}, // callers have not heard of the stop yet
+		{drainIdle, time.Minute, false},
+		{drainIdle + time.Millisecond, time.Minute, true},
+		{drainIdle + time.Millisecond, 2 * time.Second, false}, // it can still end
+		{6 * time.Second, 2 * time.Second, false},
+		{6*time.Second + time.Millisecond, 2 * time.Second, true},
+	}
+	for _, tc := range cases {
+		is := is.New(t)
+		is.Equal(st.tooLate(begin.Add(tc.after), tc.limit), tc.late)
+	}
+}
