--- a/internal/core/fleet/sim_test.go
+++ b/internal/core/fleet/sim_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 )
 
