Crowded models get an engine before single cold requests do

Demand moves to a model with two copies; one engine holds it with 89 requests on 64 slots, 25 more wait, and others run 1 to 3. The other copy's engine is at other work, which counted as a reason not to ask the store for 3 s, and cold models took whatever became free. Change: crowded models are placed first, from the store after 0.5 s.

--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -43,6 +43,10 @@
 	// store: a load from disk takes half a second, one from the store 6 s and
 	// more, during which the engine can load nothing else.
 	storePatience = 3 * time.Second
+	// crowdPatience is how long requests wait for a busy model whose engines are
+	// all crowded, before it is fetched from the store although engines that are
+	// at other work have copies: such a load serves many requests, and for long.
+	crowdPatience = 500 * time.Millisecond
 	// idleAdapter is how long an adapter must be unused before it makes way.
 	idleAdapter = 300 * time.Millisecond
 	// idleModel is how long a model must be unused before it makes way: what
@@ -59,6 +63,7 @@
 	p.settleByTime(now)
 	p.index()
 	w.Settled, p.settled = p.settled, nil
+	p.relieve(now, &w)
 	for _, want := range p.urgent() {
 		p.serve(now, want, &w)
 	}
@@ -109,7 +114,7 @@
 	}
 	if holders == 0 {
 		if !coming {
-			p.place(now, want.Model, w)
+			p.place(now, want.Model, false, w)
 		}
 		return
 	}
@@ -118,7 +123,7 @@
 		return
 	}
 	if !coming {
-		p.place(now, want.Model, w) // every holder is full
+		p.place(now, want.Model, false, w) // every holder is full
 	}
 }
 
@@ -127,32 +132,51 @@
 	return e.ep.Slots > 0 && float64(e.running) >= p.cfg.Crowded*float64(e.ep.Slots)
 }
 
+// relieve gives a busy model whose engines are all crowded one more, before
+// anything else: many requests wait there, and each of them would wait for what
+// single requests for other models leave free.
+func (p *Planner) relieve(now time.Time, w *Work) {
+	for _, name := range p.busiest(now) {
+		holders, full := p.replicas(now, name)
+		if holders > 0 && full == holders && holders < p.mostReplicas() {
+			p.place(now, name, p.oldest(name) > crowdPatience, w)
+		}
+	}
+}
+
 // replicate gives busy models the replicas that their rate asks for, several at
 // a time while demand moves to another model.
 func (p *Planner) replicate(now time.Time, w *Work) {
 	for _, name := range p.busiest(now) {
-		base := Want{Model: name}
-		holders, full := 0, 0
-		for _, e := range p.engines {
-			switch {
-			case e.loading(base):
-				holders++
-			case e.has(base) && e.usable(now):
-				holders++
-				if p.crowded(e) {
-					full++
-				}
-			}
-		}
-		want := int(math.Ceil(p.rate(now, name) / p.cfg.RatePerReplica))
-		if holders > 0 && full == holders {
-			want = max(want, holders+1)
-		}
-		want = min(want, int(math.Ceil(p.cfg.MostOfEngines*float64(len(p.engines)))))
+		holders, _ := p.replicas(now, name)
+		want := min(int(math.Ceil(p.rate(now, name)/p.cfg.RatePerReplica)), p.mostReplicas())
 		for ; holders > 0 && holders < want; holders++ {
-			p.place(now, name, w)
+			p.place(now, name, false, w)
+		}
+	}
+}
+
+// replicas returns how many engines hold a model or load it, and how many of
+// them are crowded.
+func (p *Planner) replicas(now time.Time, name string) (holders, full int) {
+	base := Want{Model: name}
+	for _, e := range p.engines {
+		switch {
+		case e.loading(base):
+			holders++
+		case e.has(base) && e.usable(now):
+			holders++
+			if p.crowded(e) {
+				full++
+			}
 		}
 	}
+	return holders, full
+}
+
+// mostReplicas returns how many engines one model may take.
+func (p *Planner) mostReplicas() int {
+	return int(math.Ceil(p.cfg.MostOfEngines * float64(len(p.engines))))
 }
 
 // busiest returns the models with more than a request a second, which alone can
--- a/internal/core/fleet/place.go
+++ b/internal/core/fleet/place.go
@@ -18,10 +18,11 @@
 	cost    float64 // seconds, including what the victims are worth
 }
 
-// place loads a model where that is soonest, or makes room for it there.
-func (p *Planner) place(now time.Time, name string, w *Work) {
+// place loads a model where that is soonest, or makes room for it there. With
+// fetch it may come from the store though engines have copies.
+func (p *Planner) place(now time.Time, name string, fetch bool, w *Work) {
 	var best *site
-	mayFetch := !p.copied(now, name) || p.oldest(name) > storePatience
+	mayFetch := fetch || !p.copied(now, name) || p.oldest(name) > storePatience
 	for _, e := range p.engines {
 		s, ok := p.site(now, e, name, mayFetch)
 		if ok && (best == nil || s.cost < best.cost || (s.cost == best.cost && s.e.ep.ID < best.e.ep.ID)) {
--- a/internal/core/fleet/planner_test.go
+++ b/internal/core/fleet/planner_test.go
@@ -135,6 +135,38 @@
 	is.True(s.p.holders("m0") >= 2)
 }
 
+// Symptom: a busy model's requests wait for seconds at its only engine, though
+// others have room.
+// Sequence: demand moves to a model that two engines have copies of. One holds it
+// and is full; the other's memory is in use. A third has room and no copy.
+// Cause: a copy elsewhere kept the planner from asking the store, and models that
+// a single request waits for took whatever became free.
+func TestCrowdedModelIsFetchedIfItsCopiesAreOutOfReach(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 3, 9, 0)
+	for _, e := range s.engines {
+		e.disk = map[string]bool{}
+	}
+	s.engines["e00"].held["m0"] = map[string]bool{}
+	s.engines["e01"].held["m1"], s.engines["e01"].held["m3"] = map[string]bool{}, map[string]bool{}
+	s.engines["e00"].disk["m0"], s.engines["e01"].disk["m0"] = true, true
+	s.engines["e02"].held["m5"], s.engines["e02"].held["m7"] = map[string]bool{}, map[string]bool{}
+	s.engines["e02"].disk["m2"] = true // asked for once, and a load from there would take the room
+	s.step()
+	s.list()
+	s.run(60)
+	for i := range 100 { // 1 s
+		at := time.Duration(i) * simStep
+		s.p.Hear(s.now, "entry",
+			[]Demand{{Want: Want{Model: "m0"}, Arrived: i % 2, Waiting: 8, Oldest: at, Earliest: 12*time.Second - at}, {Want: Want{Model: "m2"}, Waiting: 1, Oldest: at, Earliest: time.Second}},
+			[]Use{{Endpoint: "e00", Want: Want{Model: "m0"}, Running: 40}, {Endpoint: "e01", Want: Want{Model: "m1"}, Running: 1}, {Endpoint: "e01", Want: Want{Model: "m3"}, Running: 1}})
+		s.step()
+	}
+	o := s.p.engines["e02"].order
+	is.True(o != nil)
+	is.Equal(o.Want, Want{Model: "m0"})
+}
+
 // Symptom: requests race with the unload of their model.
 // Sequence: a model is in use; another one needs its room.
 func TestModelInUseIsNotUnloaded(t *testing.T) {
