--- a/internal/core/fleet/bench_test.go
+++ b/internal/core/fleet/bench_test.go
@@ -9,7 +9,7 @@
 // BenchmarkPlan measures one planning pass with cold requests waiting, at the
 // size of today and at the size to design for.
 func BenchmarkPlan(b *testing.B) {
-	for _, size := range []struct{ engines, models, waiting int }{{18, 96, 3}, {1100, 87, 20}} {
+	for _, size := range []struct{ engines, models, waiting int }{{18, 96, 3}, {54, 165, 50}, {1100, 87, 20}} {
 		b.Run(fmt.Sprintf("%d-engines", size.engines), func(b *testing.B) {
 			s := newSimulation(1, size.engines, size.models, 0)
 			for i, e := range s.engines {
@@ -24,7 +24,7 @@
 			}
 			var ds []Demand
 			for m := range size.waiting {
-				ds = append(ds, Demand{Want: Want{Model: fmt.Sprintf("m%d", m+40)}, Arrived: 1, Waiting: 1, Earliest: time.Second})
+				ds = append(ds, Demand{Want: Want{Model: fmt.Sprintf("m%d", (m+40)%size.models)}, Arrived: 1, Waiting: 1, Earliest: time.Second})
 			}
 			for b.Loop() {
 				s.p.Hear(s.now, "entry", ds, nil)
