--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -30,6 +30,9 @@
 	Listen    string // address for the system's own processes
 	Advertise string // address under which other processes reach Listen; Listen's own if empty
 	DataDir   string
+	// WrapDisk, if set, returns what stands before the log on disk: one that is
+	// slow, stalls or fails.
+	WrapDisk func(port.Disk) port.Disk
 	// Bootstrap starts a new group with this host as its only voter when the
 	// data folder is empty. Without it an empty host waits to be added.
 	Bootstrap bool
@@ -110,8 +113,12 @@
 		c.srv.Close()
 		return err
 	}
+	var disk port.Disk = c.disk
+	if c.cfg.WrapDisk != nil {
+		disk = c.cfg.WrapDisk(disk)
+	}
 	c.loop = &loop{
-		log: c.cfg.Log, st: st, disk: c.disk, send: c.sendAndFollow, hub: c.hub, met: c.met, fatal: c.cfg.Fatal, group: c.cfg.Group,
+		log: c.cfg.Log, st: st, disk: disk, send: c.sendAndFollow, hub: c.hub, met: c.met, fatal: c.cfg.Fatal, group: c.cfg.Group,
 		duties: &duties{log: c.cfg.Log, cfg: c.cfg.Placement, leases: c.cfg.Leases},
 		tasks:  make(chan func(), taskQueue), stopped: make(chan struct{}), done: make(chan struct{}),
 		waiters: map[uint64]waiter{}, reads: map[uint64]chan<- uint64{},
--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -30,6 +31,7 @@
 	dirs  []string
 	hosts []*Control // nil while down
 	seeds []string
+	disks []*faultyDisk
 }
 
 // freeAddrs returns addresses that nothing listens on.
@@ -54,6 +56,7 @@
 	s.seeds = s.addrs[:min(n, 3)]
 	for range n {
 		s.dirs = append(s.dirs, t.TempDir())
+		s.disks = append(s.disks, &faultyDisk{})
 	}
 	for i := range n {
 		s.start(i, true)
@@ -72,7 +75,12 @@
 		Host: "h", Group: "main", Listen: s.addrs[i], Advertise: s.addrs[i], DataDir: s.dirs[i],
 		Seeds:     Seeds{Addrs: s.seeds, Form: form, Roster: roster.Config{Voters: 3, ReplaceAfter: time.Second, ForgetAfter: 3 * time.Second}},
 		Placement: placement.DefaultConfig(), Leases: member.DefaultConfig(), Log: zerolog.Nop(),
-		Fatal: func(err error) { s.t.Error(err) },
+		WrapDisk: s.disks[i].wrap,
+		Fatal: func(err error) {
+			if !errors.Is(err, errDiskFull) {
+				s.t.Error(err)
+			}
+		},
 	})
 	if err != nil {
 		s.t.Fatal(err)
