An entry that has nothing to tell says so once

Each entry told the leader five times a second, also that nothing waits or runs: at the design size 1.5 kB/s a node and 7 % of a core on the leader, worked out from the slopes of docs/CAPACITY.md. Now nothing is told once on each connection, since the last report on another one may be lost. The test fails without either half.

--- a/internal/app/gateway/syncer.go
+++ b/internal/app/gateway/syncer.go
@@ -47,6 +47,8 @@
 	members []string // control hosts heard of, beside the configured ones
 	seeds   []string
 	next    int // which address to try
+
+	quiet *rpc.Conn // on which was told last that nothing waits or runs; of tell alone
 }
 
 func newSyncer(g *Gateway) *syncer {
@@ -219,6 +221,17 @@
 		return // what waits is told again when there is a leader
 	}
 	p := wire.TellParams{Host: s.g.cfg.Host, Demands: s.g.demands.tell(time.Now()), Uses: s.g.dir.uses()}
+	quiet := len(p.Demands)+len(p.Uses) == 0
+	if quiet && s.quiet == conn {
+		// Told once on a connection, nothing stays nothing. 370 idle entries that
+		// say so five times a second each would cost the leader 7 % of a core. On
+		// another connection it is said again: the last report may be lost.
+		return
+	}
+	s.quiet = nil
+	if quiet {
+		s.quiet = conn
+	}
 	if err := conn.Notify(wire.MethodTell, p); err != nil {
 		s.g.cfg.Log.Debug().Err(err).Msg("report_not_sent")
 	}
--- /dev/null
+++ b/internal/app/gateway/syncer_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
+	"github.com/cassiapass/cassiapass/internal/core/fleet"
+	"github.com/cassiapass/cassiapass/internal/wire"
+)
+
+// testLeader is a control host that leads and notes what it is told.
+type testLeader struct {
+	srv *rpc.Server
+
+	mu   sync.Mutex
+	told []wire.TellParams
+}
+
+func newTestLeader(t *testing.T) *testLeader {
+	t.Helper()
+	l := &testLeader{}
+	srv, err := rpc.Listen("127.0.0.1:0", rpc.Security{}, &rpc.Counter{}, l.handle, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.srv = srv
+	t.Cleanup(srv.Close)
+	return l
+}
+
+func (l *testLeader) handle(_ context.Context, _ *rpc.Conn, method string, raw json.RawMessage) (any, error) {
+	if method == wire.MethodPull {
+		time.Sleep(20 * time.Millisecond)
+		return wire.PullResult{Leading: true, Term: 1, ListAge: -1}, nil
+	}
+	var p wire.TellParams
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told = append(l.told, p)
+	return nil, nil
+}
+
+func (l *testLeader) reports() []wire.TellParams {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.told
+}
+
+// Symptom: idle entries take a tenth of the leader's processor at the size to
+// design for; or a leader believes for ever that an entry runs requests.
+// Sequence: an entry has nothing to tell, then a request that waits, then nothing
+// again; the connection is lost and made anew.
+// Cause: nothing was said again and again; said once only, it could be lost.
+func TestNothingIsToldOnceOnEachConnection(t *testing.T) {
+	is := is.New(t)
+	l := newTestLeader(t)
+	cfg := testConfig()
+	cfg.Control = []string{l.srv.Addr()}
+	g, err := New(cfg)
+	is.NoErr(err)
+	t.Cleanup(g.Kill)
+	until := func(n int) {
+		t.Helper()
+		for begin := time.Now(); len(l.reports()) < n; time.Sleep(5 * time.Millisecond) {
+			if time.Since(begin) > 5*time.Second {
+				t.Fatalf("%d reports, not %d", len(l.reports()), n)
+			}
+		}
+	}
+	until(1)
+	time.Sleep(3 * tellEvery)
+	is.Equal(len(l.reports()), 1) // nothing, once
+
+	g.demands.arrive(fleet.Want{Model: "m"})
+	until(3) // what arrived, and that there is nothing more
+	is.Equal(l.reports()[1].Demands[0].Arrived, 1)
+	is.Equal(len(l.reports()[2].Demands), 0)
+	time.Sleep(3 * tellEvery)
+	is.Equal(len(l.reports()), 3)
+
+	g.sync.mu.Lock()
+	conn := g.sync.conn
+	g.sync.mu.Unlock()
+	conn.Close()
+	until(4) // again, on the next connection
+}
