--- a/internal/core/fleet/engine.go
+++ b/internal/core/fleet/engine.go
@@ -140,10 +140,6 @@
 	return e.order != nil && e.order.Op == Unload && e.order.Want == w
 }
 
-func (e *engine) loading(w Want) bool {
-	return e.order != nil && e.order.Op == Load && e.order.Want == w
-}
-
 // has reports whether a request for w could run here now.
 func (e *engine) has(w Want) bool {
 	h, ok := e.held[w.Model]
