Engines make way ahead of demand

Each of 181 loads waits for an unload of 0.33 s before it, though most engines have nothing else to do. Change: while fewer than 0.4 of the engines have room for the largest model, the model that costs least to lose, over all engines, makes way. Ruled out (lab): keeping an engine that makes way for the model it does so for, and no second one meanwhile.

--- a/internal/app/lab/lab_test.go
+++ b/internal/app/lab/lab_test.go
@@ -37,7 +37,7 @@
 // Load: requests for rarely used models come faster than engines can load them.
 // Symptom without the order by gain: requests are answered just after their
 // objective, since whatever has the least time left is loaded first. In time over
-// these seeds 0.73 by the time left, 0.82 by gain.
+// these seeds 0.79 by the time left, 0.86 by gain.
 func TestUnderTooMuchDemandSomeAreServedInTime(t *testing.T) {
 	is := is.New(t)
 	const seeds = 6
@@ -49,6 +49,22 @@
 	is.Equal(gain.Starved, 0.0) // nothing is left out for good
 }
 
+// Load: few requests for rarely used models, in no hurry.
+// Symptom without room made ahead: each of them waits for an unload of 0.3 s before
+// its load begins. In time over these seeds 0.968 without, 0.985 with.
+func TestRoomMadeAheadShortensColdStarts(t *testing.T) {
+	is := is.New(t)
+	const seeds = 6
+	site := small()
+	for i := range site.Classes {
+		site.Classes[i].Rate /= 2
+	}
+	ahead := Compare(site, policy(t, "in-use"), seeds)
+	without := Compare(site, policy(t, "no-room-ahead"), seeds)
+	t.Logf("in time with room ahead %.3f, without %.3f", ahead.InTime["review"], without.InTime["review"])
+	is.True(ahead.InTime["review"] > without.InTime["review"]+0.01)
+}
+
 // Every request ends once, whatever happens to engines, and none is ordered to
 // hold more than fits.
 func TestEveryRequestEndsOnce(t *testing.T) {
--- a/internal/app/lab/policy.go
+++ b/internal/app/lab/policy.go
@@ -27,9 +27,12 @@
 	patient.IdleModel = 2 * time.Second
 	urgency := use
 	urgency.ByUrgency = true
+	noRoom := use
+	noRoom.RoomAhead = 0
 	return []Policy{
 		{Name: "in-use", What: "the planner's settings", Plan: use},
 		{Name: "by-urgency", What: "waiting requests in order of the time they have left", Plan: urgency},
+		{Name: "no-room-ahead", What: "a model makes way only when another one is asked for", Plan: noRoom},
 		{Name: "patient", What: "a model makes way only after 2 s without requests", Plan: patient},
 		{Name: "one-replica", What: "no model has more than one replica, the least used makes way", Plan: single},
 		{Name: "unchanged", What: "engines keep what they hold at the start", Plan: use, Frozen: true},
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -60,6 +60,7 @@
 		p.serve(now, want, &w)
 	}
 	p.replicate(now, &w)
+	p.roomAhead(now, &w)
 	p.queries(now, &w)
 	return w
 }
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -46,6 +46,10 @@
 	// more, during which the engine can load nothing else. 4.5 s in place of 3 s
 	// earn 0.003 and 0.011 more on the same runs, with a sixth fewer loads.
 	StorePatience time.Duration
+	// RoomAhead is the share of the engines that are kept ready to load any model
+	// without another one making way first; 0 keeps none. More than 0.4 gains
+	// nothing on heavy days, and what makes way may be asked for again.
+	RoomAhead float64
 	// ByUrgency serves waiting requests by the time that they have left, whether
 	// they can still be answered within their objective or not. It is there to
 	// compare with.
@@ -67,6 +71,7 @@
 		Patience:       300 * time.Millisecond,
 		IdleModel:      200 * time.Millisecond, // what entries tell is at most this old, and an unload waits for requests
 		StorePatience:  4500 * time.Millisecond,
+		RoomAhead:      0.4,
 		Backoff:        time.Second,
 	}
 }
--- a/internal/core/fleet/planner_test.go
+++ b/internal/core/fleet/planner_test.go
@@ -134,6 +134,25 @@
 	is.True(s.p.survey().holders["m0"] >= 2)
 }
 
+// Symptom: each cold start waits for an unload.
+// Sequence: three engines are full, one of them of models in use.
+func TestEnginesMakeWayAheadOfDemand(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 3, 9, 0)
+	for _, e := range s.engines {
+		e.held["m1"], e.held["m3"] = map[string]bool{}, map[string]bool{}
+	}
+	s.step()
+	s.list()
+	for range 300 {
+		s.p.Hear(s.now, "entry", nil, []Use{{Endpoint: "e00", Want: Want{Model: "m1"}, Running: 1}, {Endpoint: "e00", Want: Want{Model: "m3"}, Running: 1}})
+		s.step()
+	}
+	is.Equal(len(s.engines["e00"].held), 2) // in use
+	is.Equal(len(s.engines["e01"].held), 1)
+	is.Equal(len(s.engines["e02"].held), 1) // two of three, 0.4 rounded up
+}
+
 // Symptom: a busy model's requests wait for seconds at its only engine, though
 // others have room.
 // Sequence: demand moves to a model that two engines have copies of. One holds it
@@ -143,6 +162,7 @@
 func TestCrowdedModelIsFetchedIfItsCopiesAreOutOfReach(t *testing.T) {
 	is := is.New(t)
 	s := newSimulation(1, 3, 9, 0)
+	s.p.cfg.RoomAhead = 0 // the third engine is to stay full
 	for _, e := range s.engines {
 		e.disk = map[string]bool{}
 	}
@@ -433,6 +453,7 @@
 	s := newSimulation(1, 1, 9, 0)
 	s.engines["e00"].held["m0"] = map[string]bool{}
 	s.engines["e00"].disk["m1"], s.engines["e00"].disk["m2"] = true, true
+	s.p.cfg.RoomAhead = 0
 	s.step()
 	s.list()
 	s.run(60)
--- a/internal/core/fleet/survey.go
+++ b/internal/core/fleet/survey.go
@@ -19,7 +19,13 @@
 	loading map[Want][]*engine   // to the engines that load it
 	waited  map[string]bool      // models that requests wait for
 	rooms   map[*engine]*room    // filled in when first asked for
-	reserve map[*deploy.Engine]int64
+	fixed   map[*deploy.Engine]fixed
+}
+
+// fixed is what follows from an engine's description alone.
+type fixed struct {
+	reserve int64 // megabytes kept for adapters
+	largest int64 // megabytes of the largest model
 }
 
 // room is what an engine could take in.
@@ -30,7 +36,7 @@
 
 func (p *Planner) survey() *survey {
 	s := &survey{holding: make(map[string][]*engine, len(p.models)), holders: make(map[string]int, len(p.models)), loading: map[Want][]*engine{}, waited: make(map[string]bool, len(p.wants)),
-		rooms: make(map[*engine]*room, len(p.engines)), reserve: map[*deploy.Engine]int64{}}
+		rooms: make(map[*engine]*room, len(p.engines)), fixed: map[*deploy.Engine]fixed{}}
 	for _, e := range p.engines {
 		for name := range e.held {
 			s.holding[name] = append(s.holding[name], e)
@@ -54,16 +60,29 @@
 	if known {
 		return r
 	}
-	reserve, known := p.look.reserve[eng]
-	if !known {
-		reserve = adapterReserve(eng)
-		p.look.reserve[eng] = reserve
-	}
-	r = &room{free: eng.Weights - e.weights(eng) - reserve, victims: p.victims(now, e, eng)}
+	r = &room{free: p.free(e, eng), victims: p.victims(now, e, eng)}
 	p.look.rooms[e] = r
 	return r
 }
 
+// free returns the megabytes that an engine has free for models.
+func (p *Planner) free(e *engine, eng *deploy.Engine) int64 {
+	return eng.Weights - e.weights(eng) - p.look.of(eng).reserve
+}
+
+// of returns what follows from an engine's description.
+func (s *survey) of(eng *deploy.Engine) fixed {
+	f, known := s.fixed[eng]
+	if !known {
+		f.reserve = adapterReserve(eng)
+		for _, m := range eng.Models {
+			f.largest = max(f.largest, m.Megabytes)
+		}
+		s.fixed[eng] = f
+	}
+	return f
+}
+
 // victim is a model that could make way, with the expected cost in seconds.
 type victim struct {
 	name string
