Steps of the clock: silence and kept outcomes follow the steady clock; garbled answers under load

Cause: a connection's last message was kept as a time of day (rpc.Conn.Heard), so a step back hid silence from the probes of kept connections for as long; the times of commands were the time of day, so a step ahead of the leader's host dropped outcomes of keyed requests before their hour. Ruled out: consensus and fleet planner, which take ticks and handed-in times. Open: an agent on a host whose clock was set back by more than its downtime is refused until the clock has caught up (its start number is a time of day).

--- a/internal/adapter/rpc/frame.go
+++ b/internal/adapter/rpc/frame.go
@@ -37,7 +37,8 @@
 	conn  net.Conn
 	r     *bufio.Reader
 	count *Counter
-	heard atomic.Int64 // unix nanoseconds of the last frame received
+	begun time.Time    // with its steady clock
+	heard atomic.Int64 // nanoseconds from begun to the last frame received
 	notes func(method string, params json.RawMessage)
 
 	mu sync.Mutex
@@ -50,9 +51,7 @@
 }
 
 func newStream(c net.Conn, count *Counter) *stream {
-	s := &stream{conn: c, r: bufio.NewReaderSize(c, bufferSize), w: bufio.NewWriterSize(c, bufferSize), count: count}
-	s.heard.Store(time.Now().UnixNano())
-	return s
+	return &stream{conn: c, r: bufio.NewReaderSize(c, bufferSize), w: bufio.NewWriterSize(c, bufferSize), count: count, begun: time.Now()}
 }
 
 // WriteObject writes one message.
@@ -143,7 +142,7 @@
 		return nil, false, err
 	}
 	s.count.In.Add(int64(n + frameHeader))
-	s.heard.Store(time.Now().UnixNano())
+	s.heard.Store(int64(time.Since(s.begun)))
 	return body, length&notifyMark != 0, nil
 }
 
--- a/internal/adapter/rpc/rpc.go
+++ b/internal/adapter/rpc/rpc.go
@@ -100,8 +100,12 @@
 // Closed is closed when the connection is.
 func (c *Conn) Closed() <-chan struct{} { return c.rpc.DisconnectNotify() }
 
-// Heard returns when the last message arrived.
-func (c *Conn) Heard() time.Time { return time.Unix(0, c.stream.heard.Load()) }
+// Heard returns when the last message arrived. It is kept as a distance on the
+// steady clock: after a step of the time of day a connection would otherwise look
+// silent, or a silent one would not be probed until the clock has caught up.
+func (c *Conn) Heard() time.Time {
+	return c.stream.begun.Add(time.Duration(c.stream.heard.Load()))
+}
 
 // Remote returns the other side's address.
 func (c *Conn) Remote() string { return c.stream.conn.RemoteAddr().String() }
--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -118,7 +118,7 @@
 		disk = c.cfg.WrapDisk(disk)
 	}
 	c.loop = &loop{
-		log: c.cfg.Log, st: st, disk: disk, send: c.sendAndFollow, hub: c.hub, met: c.met, fatal: c.cfg.Fatal, group: c.cfg.Group,
+		log: c.cfg.Log, st: st, disk: disk, send: c.sendAndFollow, hub: c.hub, met: c.met, fatal: c.cfg.Fatal, group: c.cfg.Group, begun: time.Now(),
 		duties: &duties{log: c.cfg.Log, cfg: c.cfg.Placement, leases: c.cfg.Leases},
 		tasks:  make(chan func(), taskQueue), stopped: make(chan struct{}), done: make(chan struct{}),
 		waiters: map[uint64]waiter{}, reads: map[uint64]chan<- uint64{},
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -50,6 +50,7 @@
 	met    *metrics
 	fatal  func(error)
 	group  ident.Group
+	begun  time.Time // of this process, with its steady clock
 
 	leader  atomic.Uint64 // leader known to node, for readers outside the loop
 	tasks   chan func()
@@ -333,9 +334,15 @@
 	l.applyWaits = kept
 }
 
+// now returns the time for commands: the time of day at the start of this process,
+// advanced by the steady clock. The state lets what it keeps for an hour end by
+// these times. Symptom with the time of day itself: after a step ahead the outcome
+// of a keyed request is dropped at once, and a repeat of it runs a second time.
+func (l *loop) now() time.Time { return l.begun.Add(time.Since(l.begun)).UTC() }
+
 // propose appends a command if this host leads.
 func (l *loop) propose(c state.Command, ch chan<- proposalResult) {
-	c.Time = time.Now().UTC()
+	c.Time = l.now()
 	data, err := json.Marshal(c)
 	if err != nil {
 		ch <- proposalResult{err: oops.Wrapf(err, "encode command")}
@@ -351,7 +358,7 @@
 
 // proposeQuietly appends a command whose result only the planner looks at.
 func (l *loop) proposeQuietly(c state.Command) {
-	c.Time = time.Now().UTC()
+	c.Time = l.now()
 	c.By = "control"
 	data, err := json.Marshal(c)
 	if err != nil {
--- /dev/null
+++ b/internal/app/gateway/garbled_test.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Symptom: a caller gets another caller's bytes, half an answer that looks whole,
+// or "not run" for a request that ran.
+// Sequence: many callers on kept connections, while endpoints cut answers, add
+// bytes and whole answers that nobody asked for, early and late, answer out of
+// turn, send what is no HTTP, end answers with their connections and hang up.
+// Cause looked for: any of these mixed with another on one kept connection.
+func TestGarbledAnswersUnderLoad(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			garbledAnswers(t, seed)
+		})
+	}
+}
+
+const (
+	garbledCallers  = 8
+	garbledRequests = 40 // of each caller
+)
+
+func garbledAnswers(t *testing.T, seed uint64) {
+	a, b := newGarbler(seed, 1), newGarbler(seed, 2)
+	g := startGateway(t, newBackend(t, a.handle), newBackend(t, b.handle))
+	runs := func(id string) int { return a.runsOf(id) + b.runsOf(id) }
+	results := make([]map[string]got, garbledCallers)
+	var callers sync.WaitGroup
+	for i := range garbledCallers {
+		callers.Go(func() { results[i] = garbledCaller(t, g, i) })
+	}
+	callers.Wait()
+	time.Sleep(2 * lateAnswer) // what is refused must not run later either
+	answered := 0
+	for _, rs := range results {
+		for id, r := range rs {
+			checkGarbled(t, id, r, runs(id))
+			if r.status == http.StatusOK && r.err == nil {
+				answered++
+			}
+		}
+	}
+	if all := garbledCallers * garbledRequests; answered < all/2 {
+		t.Errorf("%d of %d requests were answered", answered, all)
+	}
+}
+
+// garbledCaller sends requests of all kinds, on one connection while that lasts.
+func garbledCaller(t *testing.T, g *Gateway, n int) map[string]got {
+	out := map[string]got{}
+	var c *caller
+	for i := range garbledRequests {
+		if c == nil {
+			c = dial(t, g)
+		}
+		path := []string{"/once/", "/safe/", "/stream/", "/resume/"}[i%4]
+		id := fmt.Sprintf("%s%d-%d", path, n, i)
+		c.send("POST", path, id, "body of "+id)
+		r, err := http.ReadResponse(c.br, nil)
+		if err != nil {
+			out[id] = got{err: err} // the connection ended: nothing is promised
+			c = nil
+			continue
+		}
+		b, err := io.ReadAll(r.Body)
+		out[id] = got{r.StatusCode, r.Header, string(b), err, r.Close}
+		if err != nil || r.Close {
+			c = nil
+		}
+	}
+	return out
+}
+
+func checkGarbled(t *testing.T, id string, r got, runs int) {
+	t.Helper()
+	once := strings.HasPrefix(id, "/once/") || strings.HasPrefix(id, "/stream/")
+	if once && runs > 1 {
+		t.Errorf("%s ran %d times", id, runs)
+	}
+	if r.err != nil {
+		return
+	}
+	switch r.status {
+	case http.StatusOK:
+		if r.body != garblerBody(id) || r.header.Get("Id") != id {
+			t.Errorf("%s got %q of %q as a whole answer", id, r.body, r.header.Get("Id"))
+		}
+	case http.StatusServiceUnavailable:
+		if runs > 0 {
+			t.Errorf("%s was refused as not run and ran", id)
+		}
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+	default:
+		t.Errorf("%s: status %d", id, r.status)
+	}
+}
+
+// lateAnswer is the longest delay of an answer that nobody asked for.
+const lateAnswer = 30 * time.Millisecond
+
+// garbler answers requests, every third in a broken way.
+type garbler struct {
+	mu   sync.Mutex
+	rand *rand.Rand
+	runs map[string]int
+}
+
+func newGarbler(seed, number uint64) *garbler {
+	return &garbler{rand: rand.New(rand.NewPCG(seed, number)), runs: map[string]int{}}
+}
+
+func (s *garbler) draw(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rand.IntN(n)
+}
+
+func (s *garbler) runsOf(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+// garblerBody is the whole answer to a request: events, so that it can be resumed.
+func garblerBody(id string) string {
+	var b strings.Builder
+	for i := range 5 {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i+1, id)
+	}
+	return b.String()
+}
+
+func (s *garbler) handle(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+	id := r.Header.Get("Id")
+	kind := s.draw(30)
+	if kind == 0 {
+		return reply(c, r, 503, "", "Not-Run: 1")
+	}
+	s.mu.Lock()
+	s.runs[id]++
+	s.mu.Unlock()
+	body := garblerBody(id)
+	if last := r.Header.Get("Last-Event-Id"); last != "" {
+		_, body, _ = strings.Cut(body, "id: "+last+"\ndata: "+id+"\n\n")
+	}
+	return garble(kind, c, r, body, s.draw(len(body)+1), time.Duration(s.draw(int(lateAnswer))))
+}
+
+// garble answers a request in the way that kind names; cut is where a body breaks
+// off, late when something follows that nobody asked for.
+func garble(kind int, c net.Conn, r *http.Request, body string, cut int, late time.Duration) bool {
+	const stray = "HTTP/1.1 200 OK\r\nId: nobody\r\nContent-Length: 5\r\n\r\nstray"
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\n", r.Header.Get("Id"))
+	write := func(text string) bool {
+		_, err := c.Write([]byte(text))
+		return err == nil
+	}
+	switch kind {
+	case 1: // hangs up without a word
+		return false
+	case 2: // what is no HTTP
+		write("\x00\x01 nothing that anybody can read\r\n\r\n")
+		return false
+	case 3: // breaks off, with a length
+		write(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body)+1, body[:cut]))
+		return false
+	case 4: // breaks off, in chunks
+		write(fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(body), body))
+		return false
+	case 5: // a stray answer first
+		return write(stray) && reply(c, r, 200, body)
+	case 6: // a stray answer last
+		return reply(c, r, 200, body) && write(stray)
+	case 7: // a stray answer later, perhaps under the next request
+		time.AfterFunc(late, func() { write(stray) })
+		return reply(c, r, 200, body)
+	case 8: // bytes after the answer
+		return reply(c, r, 200, body) && write("and some more")
+	case 9: // ends with its connection
+		write(head + "\r\n" + body)
+		return false
+	case 10: // only somebody else's answer
+		write(stray)
+		return false
+	}
+	return reply(c, r, 200, body)
+}
