--- a/internal/fake/relay.go
+++ b/internal/fake/relay.go
@@ -15,6 +15,7 @@
 	l      net.Listener
 
 	deaf  atomic.Bool  // nothing passes, old or new, both ways
+	mute  atomic.Bool  // nothing passes back from the target
 	delay atomic.Int64 // nanoseconds added to every piece
 	mu    sync.Mutex
 	pairs map[*pair]struct{}
@@ -27,8 +28,11 @@
 }
 
 // NewRelay starts a Relay to target on a free loopback port.
-func NewRelay(target string) (*Relay, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func NewRelay(target string) (*Relay, error) { return NewRelayAt("127.0.0.1:0", target) }
+
+// NewRelayAt starts a Relay to target at an address.
+func NewRelayAt(addr, target string) (*Relay, error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -56,6 +60,24 @@
 	}
 }
 
+// SetMute makes the target's side silent while what is sent to it arrives, or ends
+// that: a path that is cut one way.
+func (r *Relay) SetMute(on bool) { r.mute.Store(on) }
+
+// Reset ends the open connections with a reset.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		for _, c := range []net.Conn{p.a, p.b} {
+			if t, ok := c.(*net.TCPConn); ok {
+				_ = t.SetLinger(0)
+			}
+		}
+		p.close()
+	}
+}
+
 // SetDelay delays every piece.
 func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
 
@@ -118,8 +140,8 @@
 	r.pairs[p] = struct{}{}
 	r.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go r.copy(p, a, b, done)
-	go r.copy(p, b, a, done)
+	go r.copy(p, a, b, func() bool { return false }, done)
+	go r.copy(p, b, a, r.mute.Load, done)
 	<-done
 	if p.silent.Load() {
 		// The other end is not told either: it waits in silence.
@@ -131,7 +153,8 @@
 	r.mu.Unlock()
 }
 
-func (r *Relay) copy(p *pair, from, to net.Conn, done chan<- struct{}) {
+// copy passes bytes on until one side ends; cut tells whether this way is cut now.
+func (r *Relay) copy(p *pair, from, to net.Conn, cut func() bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 32<<10)
 	for {
@@ -139,6 +162,9 @@
 		if d := r.delay.Load(); d > 0 {
 			time.Sleep(time.Duration(d))
 		}
+		if n > 0 && cut() {
+			p.silent.Store(true) // what was lost leaves a gap: nothing may follow
+		}
 		if n > 0 && !p.silent.Load() && !r.deaf.Load() {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
