Logs tell which models are asked for and how long a leaving engine stays

The leader logs each 5 s the eight models asked for most, with rate, holders and what waits, and asks an engine that begins to leave for its report once. Volume: 0.2 lines a second and one line for each engine that leaves.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -42,6 +42,10 @@
 	// orderTimeout is after which an order counts as unanswered.
 	orderTimeout  = time.Second
 	reportTimeout = 500 * time.Millisecond
+	// demandEvery and demandModels bound what is logged of demand: a line in the time
+	// in which demand moves to other models.
+	demandEvery  = 5 * time.Second
+	demandModels = 8
 	// entryStays is how long an entry counts after it was last heard.
 	entryStays = 3 * time.Second
 )
@@ -98,6 +102,7 @@
 	cost    time.Duration // of that plan with all that follows from it
 	told    time.Time     // when entries were told of changes last
 	news    bool          // entries have not been told of all changes
+	noted   time.Time     // when demand was logged last
 }
 
 // New returns a Controller; Run starts it.
@@ -216,6 +221,23 @@
 		c.met.planned(time.Since(now))
 	}
 	c.publish(now)
+	c.noteDemand(now)
+}
+
+// noteDemand logs now and then which models are asked for most: without it nobody can
+// tell afterwards why one was loaded and another made way.
+func (c *Controller) noteDemand(now time.Time) {
+	if now.Sub(c.noted) < demandEvery {
+		return
+	}
+	c.noted = now
+	var models []string
+	for _, d := range c.planner.Busiest(now, demandModels) {
+		models = append(models, d.String())
+	}
+	if len(models) > 0 {
+		c.cfg.Log.Info().Strs("models", models).Msg("demand")
+	}
 }
 
 func (c *Controller) takeDeployment() {
@@ -310,6 +332,9 @@
 	if err != nil {
 		c.cfg.Log.Info().Str("endpoint", string(q.Endpoint)).Err(err).Msg("report_failed")
 	}
+	if r.Leaving {
+		c.cfg.Log.Info().Str("endpoint", string(q.Endpoint)).Dur("stays", r.Stays).Int("active", r.Active).Int("queued", r.Queued).Msg("endpoint_leaves")
+	}
 	c.post(func(now time.Time) {
 		switch {
 		case c.planner != planner:
--- a/internal/core/fleet/planner_test.go
+++ b/internal/core/fleet/planner_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/cassiapass/cassiapass/internal/core/deploy"
 )
 
 // Symptom: an engine crashes under its models.
@@ -477,3 +479,32 @@
 	_, counted := e.held["m1"]
 	is.True(counted)
 }
+
+// Symptom: nobody can tell afterwards why a model was loaded and another made way, or
+// how long an engine that left was still there.
+func TestDemandAndLeavingAreKnown(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := New(DefaultConfig())
+	p.SetDeployment(&deploy.Config{Services: map[string]*deploy.Service{"llm": {Name: "llm", Engine: testEngine(4)}}})
+	ep := Endpoint{ID: "e0", Service: "llm", Addr: "10.0.0.1:80", Slots: 8, Held: []Held{{Model: "m1"}}}
+	p.List(now, []Endpoint{ep})
+	p.Hear(now, "entry", []Demand{
+		{Want: Want{Model: "m1"}, Arrived: 40},
+		{Want: Want{Model: "m2"}, Arrived: 8, Waiting: 2},
+		{Want: Want{Model: "m2", Adapter: "a1"}, Arrived: 1, Waiting: 1},
+	}, nil)
+	got := p.Busiest(now, 5)
+	is.Equal(len(got), 2)
+	is.Equal(got[0].Model, "m1")
+	is.Equal(got[0].Holders, 1)
+	is.Equal(got[1].Waiting, 3)
+	is.Equal(len(p.Busiest(now, 1)), 1)
+	is.Equal(len(p.Busiest(now.Add(time.Hour), 5)), 0) // all are idle again
+
+	p.Reported(now, "e0", Report{Held: ep.Held})
+	ep.Leaving = true
+	p.List(now.Add(time.Second), []Endpoint{ep})
+	w := p.Plan(now.Add(time.Second))
+	is.Equal(len(w.Queries), 1) // asked how long it stays
+}
--- a/internal/core/fleet/types.go
+++ b/internal/core/fleet/types.go
@@ -55,6 +55,8 @@
 	Copies   Copies
 	Queued   int
 	Active   int
+	Leaving  bool          // it takes no new requests
+	Stays    time.Duration // how long one that leaves is still there; 0 if it does not tell
 }
 
 // Want names what a request needs an engine to hold.
