Control hosts without a disk hold the log in memory

Cause: the log stood in a temporary folder; the platform's allows neither locks ('bad file descriptor') nor renames ('read-only file system'). A trial without the lock on a scratch copy failed at the rename. Change: no folder at all: such a host never votes and starts empty anyway. Since these hosts are members now, joiners with a disk come first: each change takes some 0.3 s. Tests: TestHostsWithoutADiskServeAndNeverVote and the stand-in's hosts without a disk have no folder to write to (both failed before); TestHostsWithADiskComeFirst.

--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -29,7 +29,7 @@
 	Group     ident.Group
 	Listen    string // address for the system's own processes
 	Advertise string // address under which other processes reach Listen; Listen's own if empty
-	DataDir   string
+	DataDir   string // unused where Seeds.Volatile
 	// WrapDisk, if set, returns what stands before the log on disk: one that is
 	// slow, stalls or fails.
 	WrapDisk func(port.Disk) port.Disk
@@ -66,7 +66,7 @@
 	srv    *rpc.Server
 	count  *rpc.Counter
 	met    *metrics
-	disk   *disklog.Log
+	disk   port.Disk
 	cancel context.CancelFunc
 	// started is closed when the loop runs. Peers that know this host's address
 	// send as soon as it listens, which is before.
@@ -76,12 +76,21 @@
 	seedAddrs []string
 }
 
-// New opens the data folder and starts the control host.
-func New(cfg Config) (*Control, error) {
+// openLog opens the data folder, if this host has one.
+func (cfg Config) openLog() (port.Disk, *disklog.Restored, error) {
+	if cfg.Seeds.Volatile {
+		return memory{}, &disklog.Restored{Identity: cfg.freshIdentity()}, nil
+	}
 	disk, res, err := disklog.Open(cfg.DataDir, cfg.freshIdentity)
 	if errors.Is(err, disklog.ErrDamaged) && cfg.Seeds.used() {
 		disk, res, err = cfg.startOver(err)
 	}
+	return disk, res, err
+}
+
+// New opens the data folder and starts the control host.
+func New(cfg Config) (*Control, error) {
+	disk, res, err := cfg.openLog()
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +122,7 @@
 		c.srv.Close()
 		return err
 	}
-	var disk port.Disk = c.disk
+	disk := c.disk
 	if c.cfg.WrapDisk != nil {
 		disk = c.cfg.WrapDisk(disk)
 	}
--- a/internal/app/control/group.go
+++ b/internal/app/control/group.go
@@ -24,9 +24,8 @@
 	// Form is true only at the first start of the whole deployment: the hosts
 	// at Addrs are then the founding voters.
 	Form bool
-	// Volatile tells that the data folder does not outlast the process, since the
-	// host has no disk. It holds the log and answers operators, but never votes
-	// and founds no group.
+	// Volatile tells that the host has no disk. It holds the log in memory and
+	// answers operators, but never votes and founds no group.
 	Volatile bool
 	// Roster bounds replacing and forgetting.
 	Roster roster.Config
--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -78,8 +78,12 @@
 
 func (s *site) start(i int, form bool) {
 	s.t.Helper()
+	dir := s.dirs[i]
+	if s.volatile[i] {
+		dir = "" // nothing may be written
+	}
 	c, err := New(Config{
-		Host: "h", Group: "main", Listen: s.addrs[i], Advertise: s.addrs[i], DataDir: s.dirs[i],
+		Host: "h", Group: "main", Listen: s.addrs[i], Advertise: s.addrs[i], DataDir: dir,
 		Seeds:     Seeds{Addrs: s.seeds, Form: form, Volatile: s.volatile[i], Roster: roster.Config{Voters: 3, ReplaceAfter: time.Second, ForgetAfter: 3 * time.Second}},
 		Placement: placement.DefaultConfig(), Leases: member.DefaultConfig(), Log: zerolog.Nop(),
 		WrapDisk: s.disks[i].wrap,
@@ -286,7 +290,7 @@
 	is.True(<-ch > 0)
 }
 
-// Symptom: hosts that run control without a disk end at their start, or vote and
+// Symptom: hosts that run control without a disk never get to run it, or vote and
 // forget it.
 // Sequence: two of five hosts have no disk; one of the three voters is lost for
 // good; the hosts without a disk start anew, empty; then all are killed.
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -77,10 +77,14 @@
 	Reason string
 }
 
-// Next returns the change that is due, if any. st is the leader's own status.
+// Next returns the change that is due, if any. st is the leader's own status. Hosts
+// with a disk come first: each change takes some 0.3 s, and after many restarts at
+// once a host that could take over a vote would wait behind all that never vote.
 func (r *Roster) Next(now time.Time, st consensus.Status) (Change, bool) {
+	const disk, volatile = false, true
 	for _, rule := range []func(time.Time, consensus.Status) (Change, bool){
-		r.dropLostDisk, r.dropExtraVoter, r.admit, r.promote, r.forget,
+		r.dropReplaced(disk), r.dropExtraVoter, r.admit(disk), r.promote,
+		r.dropReplaced(volatile), r.admit(volatile), r.forget,
 	} {
 		if c, due := rule(now, st); due {
 			return c, true
@@ -89,21 +93,23 @@
 	return Change{}, false
 }
 
-// dropLostDisk removes an identity whose address asks to join under another
-// one: the host lost its disk, so the old identity can never answer again. Were
-// it kept, it would count towards every quorum while it cannot vote.
-func (r *Roster) dropLostDisk(now time.Time, st consensus.Status) (Change, bool) {
-	for _, j := range r.joiners {
-		if now.Sub(j.At) > joinerStays {
-			continue
-		}
-		for _, m := range st.Membership.Members {
-			if m.Addr == j.Addr && m.ID != j.ID && m.ID != st.ID {
-				return Change{Member: m, Remove: true, Reason: "its host lost its disk and joins under a new identity"}, true
+// dropReplaced removes an identity whose address asks to join under another one: the
+// host lost its disk, or never had one and started anew, so the old identity can never
+// answer again. Were it kept, it would count towards every quorum while it cannot vote.
+func (r *Roster) dropReplaced(volatile bool) func(time.Time, consensus.Status) (Change, bool) {
+	return func(now time.Time, st consensus.Status) (Change, bool) {
+		for _, j := range r.joiners {
+			if j.Volatile != volatile || now.Sub(j.At) > joinerStays {
+				continue
+			}
+			for _, m := range st.Membership.Members {
+				if m.Addr == j.Addr && m.ID != j.ID && m.ID != st.ID {
+					return Change{Member: m, Remove: true, Reason: "its host joins under a new identity: it lost its disk, or has none"}, true
+				}
 			}
 		}
+		return Change{}, false
 	}
-	return Change{}, false
 }
 
 // dropExtraVoter removes a silent voter once a spare has taken its place.
@@ -120,17 +126,19 @@
 }
 
 // admit adds a host that asks to join, without a vote.
-func (r *Roster) admit(now time.Time, st consensus.Status) (Change, bool) {
-	for id, j := range r.joiners {
-		if now.Sub(j.At) > joinerStays {
-			delete(r.joiners, id)
-			continue
-		}
-		if _, member := st.Membership.Find(id); !member {
-			return Change{Member: consensus.Member{ID: id, Addr: j.Addr, Volatile: j.Volatile}, Reason: "it asked to join"}, true
+func (r *Roster) admit(volatile bool) func(time.Time, consensus.Status) (Change, bool) {
+	return func(now time.Time, st consensus.Status) (Change, bool) {
+		for id, j := range r.joiners {
+			if now.Sub(j.At) > joinerStays {
+				delete(r.joiners, id)
+				continue
+			}
+			if _, member := st.Membership.Find(id); !member && j.Volatile == volatile {
+				return Change{Member: consensus.Member{ID: id, Addr: j.Addr, Volatile: j.Volatile}, Reason: "it asked to join"}, true
+			}
 		}
+		return Change{}, false
 	}
-	return Change{}, false
 }
 
 // promote gives a vote to a spare that holds the log, when votes are missing or
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -120,3 +120,35 @@
 	is.True(due && c.Remove)
 	is.Equal(c.Member.ID, consensus.NodeID(4)) // and 9, silent since, is not admitted
 }
+
+// Symptom: after all hosts were restarted at once, a lost vote is replaced seconds late.
+// Sequence: six hosts without a disk ask to join again under new identities, and one
+// whose disk was lost.
+// Cause: each change takes some 0.3 s, and they were made in no order.
+func TestHostsWithADiskComeFirst(t *testing.T) {
+	is := is.New(t)
+	r := New(DefaultConfig(1), start)
+	now := start.Add(time.Second)
+	ms := three()
+	for i := range 6 {
+		addr := string(rune('p' + i))
+		ms = append(ms, consensus.Member{ID: consensus.NodeID(20 + i), Addr: addr, Volatile: true})
+		r.Join(Joiner{ID: consensus.NodeID(30 + i), Addr: addr, At: now, Volatile: true})
+	}
+	r.Join(Joiner{ID: 9, Addr: "c", At: now})
+	c, due := r.Next(now, members(ms...))
+	is.True(due && c.Remove)
+	is.Equal(c.Member.ID, consensus.NodeID(3)) // the lost disk's identity
+	ms = append(ms[:2], ms[3:]...)
+	c, due = r.Next(now, members(ms...))
+	is.True(due)
+	is.Equal(c.Member.ID, consensus.NodeID(9)) // then its host
+	ms = append(ms, c.Member)
+	r.Heard(now, 9)
+	c, due = r.Next(now, members(ms...))
+	is.True(due)
+	is.Equal(c.Member, voter(9, "c")) // which gets the vote
+	ms[len(ms)-1] = c.Member
+	c, due = r.Next(now, members(ms...))
+	is.True(due && c.Remove && c.Member.Volatile) // and only then the others
+}
