--- a/internal/adapter/disklog/disklog_test.go
+++ b/internal/adapter/disklog/disklog_test.go
@@ -32,6 +32,22 @@
 	return l, res
 }
 
+// threeEntries saves three entries, closes the folder and returns the path and content
+// of the segment that holds them.
+func threeEntries(t *testing.T, dir string) (string, []byte) {
+	t.Helper()
+	l, _ := open(t, dir)
+	if err := errors.Join(l.Save(entries(1, 1, 3), nil), l.Close()); err != nil {
+		t.Fatal(err)
+	}
+	path := lastSegment(t, l)
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path, b
+}
+
 func lastSegment(t *testing.T, l *Log) string {
 	t.Helper()
 	segs, err := l.list(segmentExt)
@@ -79,12 +95,7 @@
 func TestTornEndIsCut(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	l, _ := open(t, dir)
-	is.NoErr(l.Save(entries(1, 1, 3), nil))
-	path := lastSegment(t, l)
-	is.NoErr(l.Close())
-	whole, err := os.ReadFile(path)
-	is.NoErr(err)
+	path, whole := threeEntries(t, dir)
 	for cut := 1; cut < 60; cut += 7 {
 		is.NoErr(os.WriteFile(path, whole[:len(whole)-cut], 0o600))
 		l, res := open(t, dir)
@@ -117,15 +128,10 @@
 func TestDamageBeforeTheEndIsRefused(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	l, _ := open(t, dir)
-	is.NoErr(l.Save(entries(1, 1, 3), nil))
-	path := lastSegment(t, l)
-	is.NoErr(l.Close())
-	b, err := os.ReadFile(path)
-	is.NoErr(err)
+	path, b := threeEntries(t, dir)
 	b[len(b)/2] ^= 0xff
 	is.NoErr(os.WriteFile(path, b, 0o600))
-	_, _, err = Open(dir, identity)
+	_, _, err := Open(dir, identity)
 	is.True(err != nil)
 	for _, part := range []string{filepath.Base(path), "offset", "join as a new one"} {
 		is.True(strings.Contains(err.Error(), part))
