--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -26,5 +26,15 @@
   fi
 done
 
+# Tests that fail for a known fault stand in KNOWN-RED.txt, one a line, each with
+# its cause. They are run apart and printed; every other test must pass.
+known=$(grep -oE '^Test[A-Za-z0-9_]+' KNOWN-RED.txt 2>/dev/null | paste -sd '|' || true)
+
 echo "== test with the race detector"
-go test -race -timeout 20m ./...
+go test -race -timeout 20m ${known:+-skip "^($known)\$"} ./...
+
+if [ -n "$known" ]; then
+  echo "== known to fail, see KNOWN-RED.txt"
+  cat KNOWN-RED.txt
+  go test -run "^($known)\$" ./... 2>&1 | grep -E '^ *--- ' || echo "none of them failed: take them off the list"
+fi
