Second replicas in use do not make way: tried, measured, undone

Busy models lost engines that they needed again a moment later. Conclusion: a model without an engine must wait less than that, but by another rule, perhaps only while the busy model's rate falls.

--- a/internal/core/fleet/place.go
+++ b/internal/core/fleet/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 )
 
@@ -15,12 +14,6 @@
 	cost   float64 // seconds, including what the victims are worth
 }
 
-// sparePatience is how long a request waits for a model that no engine holds until a
-// second replica in use makes way for it: longer than an idle place takes to come free
-// in the usual course, and shorter than the 1.2 s after which callers are told to come
-// back.
-const sparePatience = 800 * time.Millisecond
-
 // place loads a model where that is soonest, or makes room for it there. With
 // fetch it may come from the store though engines have copies.
 func (p *Planner) place(now time.Time, name string, fetch bool, w *Work) {
@@ -105,11 +98,7 @@
 	s := site{e: e, source: src, takes: takes, cost: takes.Seconds()}
 	r := p.room(now, e, eng)
 	free := r.free
-	victims := r.victims
-	if p.look.holders[name] == 0 && p.oldest(name) > sparePatience {
-		victims = slices.Concat(victims, p.spares(now, e, eng, victims))
-	}
-	for _, v := range victims {
+	for _, v := range r.victims {
 		if free >= m.Megabytes {
 			break
 		}
--- a/internal/core/fleet/survey.go
+++ b/internal/core/fleet/survey.go
@@ -112,55 +112,14 @@
 		if m == nil || p.look.waited[name] || now.Sub(h.used) < p.idleModel(now, name) || e.runningOf(name) > 0 {
 			continue
 		}
-		out = append(out, victim{name, p.loss(now, name, h, m)})
-	}
-	sortVictims(out)
-	return out
-}
-
-// loss returns what it costs, in seconds, that an engine loses a model.
-func (p *Planner) loss(now time.Time, name string, h *held, m *deploy.Model) float64 {
-	rate := p.rate(now, name)
-	if p.look.holders[name] > 1 {
-		rate /= 4 // the others take the requests meanwhile
-	}
-	// The longer unused, the less likely soon: LRU breaks equal rates.
-	return min(rate, 2)*m.FromDisk.Seconds() + 0.05/(1+now.Sub(h.used).Seconds())
-}
-
-func sortVictims(vs []victim) {
-	slices.SortFunc(vs, func(a, b victim) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name)) })
-}
-
-// spares returns the models of an engine that are in use but held elsewhere too, where
-// there is room for what runs here. Symptom without them: every place is taken by models
-// that are never idle, one of them in two places, and a model that none holds is not
-// loaded for 12 s and more. The unload waits for what runs.
-func (p *Planner) spares(now time.Time, e *engine, eng *deploy.Engine, idle []victim) []victim {
-	var out []victim
-	for name, h := range e.held {
-		m := eng.Models[name]
-		known := slices.ContainsFunc(idle, func(v victim) bool { return v.name == name })
-		if m == nil || known || p.look.waited[name] || !p.takenOver(now, e, name) {
-			continue
+		rate := p.rate(now, name)
+		if p.look.holders[name] > 1 {
+			rate /= 4 // the others take the requests meanwhile
 		}
-		out = append(out, victim{name, p.loss(now, name, h, m)})
+		// The longer unused, the less likely soon: LRU breaks equal rates.
+		idle := now.Sub(h.used).Seconds()
+		out = append(out, victim{name, min(rate, 2)*m.FromDisk.Seconds() + 0.05/(1+idle)})
 	}
-	sortVictims(out)
+	slices.SortFunc(out, func(a, b victim) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name)) })
 	return out
 }
-
-// takenOver reports whether the other engines that hold a model could take its requests
-// at e over and would still not be crowded.
-func (p *Planner) takenOver(now time.Time, e *engine, name string) bool {
-	room := 0.0
-	others := 0
-	for _, o := range p.look.holding[name] {
-		if o == e || !o.has(Want{Model: name}) || !o.usable(now) {
-			continue
-		}
-		others++
-		room += max(0, p.cfg.Crowded*float64(o.ep.Slots)-float64(o.running))
-	}
-	return others > 0 && room >= float64(e.runningOf(name))
-}
