--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -36,5 +36,5 @@
 if [ -n "$known" ]; then
   echo "== known to fail, see KNOWN-RED.txt"
   cat KNOWN-RED.txt
-  go test -run "^($known)\$" ./... 2>&1 | grep -E '^ *--- ' || echo "none of them failed: take them off the list"
+  { go test -run "^($known)\$" ./... 2>&1 || true; } | grep -E '^ *--- ' || echo "none of them failed: take them off the list"
 fi
