Observers forget a leader that is silent

Symptom: a host without a vote that was removed while it was cut off never takes part again. Cause: only a member that votes campaigns after silence, and forgets its leader by that. Ruled out: the queue itself (a heartbeat may always be late). Test: TestObserverForgetsALeaderThatIsSilent fails before, passes after.

--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -200,6 +200,10 @@
 		n.tickLeader()
 		return
 	}
+	if self, _ := n.membership.Find(n.id); !self.Voter {
+		n.tickObserver()
+		return
+	}
 	if n.elapsed >= n.timeout {
 		n.elapsed = 0
 		n.resetTimeout()
@@ -207,6 +211,20 @@
 	}
 }
 
+// observerPatience is how many heartbeats to observers are missed before the leader
+// counts as gone there.
+const observerPatience = 4
+
+// tickObserver forgets a leader that is not heard any more. Symptom without it: a host
+// without a vote that was removed while it was cut off believes for ever that it
+// follows, and never asks to be a member again; entries that ask it are sent to a
+// leader of long ago.
+func (n *Node) tickObserver() {
+	if n.elapsed >= observerPatience*n.cfg.ObserverTicks {
+		n.lead = None
+	}
+}
+
 func (n *Node) tickLeader() {
 	if n.elapsed >= n.cfg.ElectionTicks {
 		n.elapsed = 0
