A control group is found from any seed: members make themselves known

Cause: the seeds had been exchanged for hosts that hold the log in memory. Those with disks knew the seeds and led, the seeds knew only each other, and only who asked learned. Ruled out: the election (0.5 s), the entries (they ask the seeds, as told). Change: core/contact keeps addresses met, told and kept on disk; members greet seeds and silent members, lost hosts greet all they know; the roster notes changed addresses.

--- a/internal/adapter/disklog/recover.go
+++ b/internal/adapter/disklog/recover.go
@@ -53,12 +53,12 @@
 	if err != nil {
 		return Identity{}, oops.Wrapf(err, "encode identity")
 	}
-	return id, l.replace(path, b)
+	return id, replace(path, b)
 }
 
 // replace writes a file by write, sync, rename and directory sync, so that a
 // crash leaves either the old or the new content.
-func (l *Log) replace(path string, b []byte) error {
+func replace(path string, b []byte) error {
 	tmp := path + tempExt
 	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
@@ -76,7 +76,7 @@
 	if err != nil {
 		return oops.Wrapf(err, "write %s", path)
 	}
-	return syncDir(l.dir)
+	return syncDir(filepath.Dir(path))
 }
 
 func (l *Log) writeSnapshot(s consensus.Snapshot) error {
@@ -85,7 +85,7 @@
 		return oops.Wrapf(err, "encode snapshot")
 	}
 	path := filepath.Join(l.dir, fmt.Sprintf("%016x%s", s.Index, snapshotExt))
-	return l.replace(path, appendSnapshot(b))
+	return replace(path, appendSnapshot(b))
 }
 
 func appendSnapshot(b []byte) []byte {
--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
@@ -15,6 +14,7 @@
 	"github.com/cassiapass/cassiapass/internal/adapter/disklog"
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
+	"github.com/cassiapass/cassiapass/internal/core/contact"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/member"
 	"github.com/cassiapass/cassiapass/internal/core/placement"
@@ -70,10 +70,8 @@
 	cancel context.CancelFunc
 	// started is closed when the loop runs. Peers that know this host's address
 	// send as soon as it listens, which is before.
-	started chan struct{}
-
-	mu        sync.Mutex
-	seedAddrs []string
+	started  chan struct{}
+	contacts contacts
 }
 
 // openLog opens the data folder, if this host has one.
@@ -90,6 +88,7 @@
 
 // New opens the data folder and starts the control host.
 func New(cfg Config) (*Control, error) {
+	kept := cfg.keptContacts()
 	disk, res, err := cfg.openLog()
 	if err != nil {
 		return nil, err
@@ -98,26 +97,27 @@
 		_ = disk.Close()
 		return nil, oops.Errorf("data folder %s belongs to group %q, not %q", cfg.DataDir, res.Identity.Group, cfg.Group)
 	}
-	c := &Control{cfg: cfg, id: res.Identity.Node, count: &rpc.Counter{}, disk: disk, started: make(chan struct{}), seedAddrs: cfg.Seeds.Addrs}
-	if err := c.start(res); err != nil {
+	c := &Control{cfg: cfg, id: res.Identity.Node, count: &rpc.Counter{}, disk: disk, started: make(chan struct{})}
+	if err := c.start(res, kept); err != nil {
 		_ = disk.Close()
 		return nil, err
 	}
 	return c, nil
 }
 
-func (c *Control) start(res *disklog.Restored) error {
+func (c *Control) start(res *disklog.Restored, kept []string) error {
 	st, err := state.Decode(res.Snapshot.Data)
 	if err != nil {
 		return err
 	}
 	c.hub = newHub(c.copyAll)
-	c.peers = newPeers(c.id, c.cfg.Security, c.count)
+	c.peers = newPeers(c.id, c.cfg.Security, c.count, c.contacts.addrOf)
 	c.met = newMetrics(c.cfg.Metrics, c.count, c.Status, c.hub.subscribers)
 	c.srv, err = rpc.Listen(c.cfg.Listen, c.cfg.Security, c.count, c.handle, c.hub.unsubscribe, c.authFailed)
 	if err != nil {
 		return err
 	}
+	c.contacts.book = contact.New(time.Now(), contact.Contact{ID: c.id, Addr: c.Addr()}, c.cfg.Seeds.Addrs, kept)
 	if err := c.bootstrap(res); err != nil {
 		c.srv.Close()
 		return err
@@ -127,7 +127,7 @@
 		disk = c.cfg.WrapDisk(disk)
 	}
 	c.loop = &loop{
-		log: c.cfg.Log, st: st, disk: disk, send: c.sendAndFollow, hub: c.hub, met: c.met, fatal: c.cfg.Fatal, group: c.cfg.Group, begun: time.Now(),
+		id: c.id, addr: c.Addr(), metAt: c.contacts.addrOf, log: c.cfg.Log, st: st, disk: disk, send: c.sendAndFollow, hub: c.hub, met: c.met, fatal: c.cfg.Fatal, group: c.cfg.Group, begun: time.Now(),
 		duties: &duties{log: c.cfg.Log, cfg: c.cfg.Placement, leases: c.cfg.Leases},
 		tasks:  make(chan func(), taskQueue), stopped: make(chan struct{}), done: make(chan struct{}),
 		waiters: map[uint64]waiter{}, reads: map[uint64]chan<- uint64{},
@@ -150,7 +150,10 @@
 	close(c.started)
 	go c.forwardBeats(ctx)
 	if c.cfg.Seeds.used() {
-		go c.keepJoined(ctx)
+		go c.keepInTouch(ctx)
+	}
+	if c.cfg.Seeds.used() && !c.cfg.Seeds.Volatile {
+		go c.keepContacts(ctx, kept)
 	}
 	if c.cfg.HostList != nil {
 		go c.pollHosts(ctx)
--- a/internal/app/control/deployment.go
+++ b/internal/app/control/deployment.go
@@ -74,16 +74,6 @@
 	return nil
 }
 
-// LeaderAddr returns the address of the leader known to this host, or "".
-func (c *Control) LeaderAddr() string {
-	lead := c.leader()
-	if lead == consensus.None {
-		return ""
-	}
-	m, _ := c.Status().Membership.Find(lead)
-	return m.Addr
-}
-
 // noteDeployment tells the owner of a change of the deployment. It runs in the
 // loop.
 func (l *loop) noteDeployment() {
@@ -94,12 +84,3 @@
 	l.toldDeploy = d.Revision
 	l.onDeploy(d)
 }
-
-// Members returns the addresses of the group's members, as known here.
-func (c *Control) Members() []string {
-	var out []string
-	for _, m := range c.Status().Membership.Members {
-		out = append(out, m.Addr)
-	}
-	return out
-}
--- a/internal/app/control/group.go
+++ b/internal/app/control/group.go
@@ -33,14 +33,8 @@
 
 func (s Seeds) used() bool { return len(s.Addrs) > 0 }
 
-const (
-	joinEvery   = 500 * time.Millisecond
-	joinTimeout = 400 * time.Millisecond
-	rosterEvery = 250 * time.Millisecond
-	// leaderless is how long a member goes without a leader before it asks to
-	// join: it may have been removed while it was away, and nobody tells it.
-	leaderless = 2 * time.Second
-)
+// rosterEvery is the time between looks at which membership change is due.
+const rosterEvery = 250 * time.Millisecond
 
 // foundingID is the identity of a founding voter. Every founder derives the
 // same ones from the same list, so that all start from one membership without
@@ -85,64 +79,6 @@
 	return m, founder
 }
 
-// keepJoined asks to be a member whenever this host is none, or may have been
-// removed while it was away.
-func (c *Control) keepJoined(ctx context.Context) {
-	t := time.NewTicker(joinEvery)
-	defer t.Stop()
-	lastLed := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		st := c.Status()
-		_, member := st.Membership.Find(c.id)
-		if member && st.Leader != consensus.None {
-			lastLed = time.Now()
-			continue
-		}
-		if member && time.Since(lastLed) < leaderless {
-			continue
-		}
-		c.askToJoin(ctx, st)
-	}
-}
-
-// askToJoin asks every host that may know the leader; any of them forwards.
-func (c *Control) askToJoin(ctx context.Context, st consensus.Status) {
-	addrs := slices.Clone(c.SeedAddrs())
-	for _, m := range st.Membership.Members {
-		if !slices.Contains(addrs, m.Addr) {
-			addrs = append(addrs, m.Addr)
-		}
-	}
-	for _, a := range addrs {
-		if a == c.Addr() {
-			continue
-		}
-		go c.askOne(ctx, a)
-	}
-}
-
-func (c *Control) askOne(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	conn, err := c.peers.dialOnce(ctx, addr)
-	if err != nil {
-		c.cfg.Log.Debug().Str("address", addr).Err(err).Msg("join_not_sent")
-		return
-	}
-	defer conn.Close()
-	var res wire.JoinResult
-	err = conn.Call(ctx, wire.MethodJoin, wire.JoinParams{ID: c.id, Addr: c.Addr(), Volatile: c.cfg.Seeds.Volatile}, &res)
-	if err == nil {
-		c.peers.learn(res.Members)
-	}
-	c.cfg.Log.Info().Str("address", addr).Err(err).Msg("join_asked")
-}
-
 // onJoin notes a request to join on the leader and forwards it elsewhere.
 func (c *Control) onJoin(ctx context.Context, raw json.RawMessage) (any, error) {
 	p, err := decode[wire.JoinParams](raw)
@@ -171,20 +107,6 @@
 	return res, err
 }
 
-// SetSeeds replaces the addresses at which this host asks to join.
-func (c *Control) SetSeeds(addrs []string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.seedAddrs = slices.Clone(addrs)
-}
-
-// SeedAddrs returns the addresses at which this host asks to join.
-func (c *Control) SeedAddrs() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.seedAddrs
-}
-
 // tickRoster proposes the membership change that is due. It runs in the loop.
 func (l *loop) tickRoster(now time.Time) {
 	if !l.rosterUsed || now.Sub(l.rosterChecked) < rosterEvery {
@@ -198,7 +120,9 @@
 	if l.roster == nil || l.rosterTerm != l.node.Term() {
 		l.roster, l.rosterTerm = roster.New(l.rosterCfg, now), l.node.Term()
 	}
-	ch, due := l.roster.Next(now, l.node.Status())
+	st := l.node.Status()
+	l.noteMoved(now, st.Membership)
+	ch, due := l.roster.Next(now, st)
 	if !due {
 		return
 	}
@@ -206,3 +130,17 @@
 	l.log.Info().Uint64("member", uint64(ch.Member.ID)).Str("address", ch.Member.Addr).Bool("voter", ch.Member.Voter).
 		Bool("remove", ch.Remove).Str("reason", ch.Reason).Err(err).Msg("membership_change_proposed")
 }
+
+// noteMoved tells the roster of members that were met at another address than the log
+// says, this host among them. They hear the leader and do not ask to join.
+func (l *loop) noteMoved(now time.Time, ms consensus.Membership) {
+	for _, m := range ms.Members {
+		addr, met := l.metAt(m.ID)
+		if m.ID == l.id {
+			addr, met = l.addr, true
+		}
+		if met && addr != m.Addr {
+			l.roster.Join(roster.Joiner{ID: m.ID, Addr: addr, At: now, Volatile: m.Volatile})
+		}
+	}
+}
--- a/internal/app/control/handlers.go
+++ b/internal/app/control/handlers.go
@@ -44,6 +44,8 @@
 		return c.onMember(ctx, raw)
 	case wire.MethodJoin:
 		return c.onJoin(ctx, raw)
+	case wire.MethodGreet:
+		return c.onGreet(raw)
 	}
 	if c.cfg.Methods != nil {
 		return c.cfg.Methods(ctx, method, raw)
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -40,6 +40,9 @@
 
 // loop owns consensus, state and planner.
 type loop struct {
+	id     consensus.NodeID
+	addr   string                                // under which other hosts reach this one
+	metAt  func(consensus.NodeID) (string, bool) // where an identity was met
 	log    zerolog.Logger
 	node   *consensus.Node
 	st     *state.State
--- a/internal/app/control/peers.go
+++ b/internal/app/control/peers.go
@@ -25,6 +25,10 @@
 	sec   rpc.Security
 	count *rpc.Counter
 	self  consensus.NodeID
+	// met returns where an identity was met, which goes before what the log says.
+	// Symptom without it: hosts whose addresses changed while all were dark never elect
+	// a leader; only one could have noted the new addresses in the log.
+	met func(consensus.NodeID) (string, bool)
 
 	mu      sync.Mutex
 	peers   map[consensus.NodeID]*peer
@@ -41,8 +45,8 @@
 	conn *rpc.Conn
 }
 
-func newPeers(self consensus.NodeID, sec rpc.Security, count *rpc.Counter) *peers {
-	return &peers{sec: sec, count: count, self: self, peers: map[consensus.NodeID]*peer{}}
+func newPeers(self consensus.NodeID, sec rpc.Security, count *rpc.Counter, met func(consensus.NodeID) (string, bool)) *peers {
+	return &peers{sec: sec, count: count, self: self, met: met, peers: map[consensus.NodeID]*peer{}}
 }
 
 // learn takes in members that the leader told. Symptom without it: a host that
@@ -68,7 +72,7 @@
 	}
 	for id, pr := range p.peers {
 		mem, ok := m.Find(id)
-		if !ok || mem.Addr != pr.addr {
+		if !ok || p.addr(mem) != pr.addr {
 			close(pr.stop)
 			delete(p.peers, id)
 		}
@@ -77,12 +81,20 @@
 		if _, ok := p.peers[mem.ID]; ok || mem.ID == p.self {
 			continue
 		}
-		pr := &peer{addr: mem.Addr, queue: make(chan consensus.Message, peerQueue), stop: make(chan struct{})}
+		pr := &peer{addr: p.addr(mem), queue: make(chan consensus.Message, peerQueue), stop: make(chan struct{})}
 		p.peers[mem.ID] = pr
 		go p.pump(pr)
 	}
 }
 
+// addr returns where a member is reached.
+func (p *peers) addr(m consensus.Member) string {
+	if addr, met := p.met(m.ID); met {
+		return addr
+	}
+	return m.Addr
+}
+
 // send queues messages. A full queue drops: consensus repeats what matters.
 func (p *peers) send(msgs []consensus.Message) {
 	p.mu.Lock()
--- a/internal/app/gateway/syncer.go
+++ b/internal/app/gateway/syncer.go
@@ -129,7 +129,7 @@
 		return err
 	}
 	if !r.Leading {
-		s.learn(r.Members)
+		s.hear(r.Members)
 		s.drop(conn, r.Leader)
 		return errNoLeader
 	}
@@ -181,6 +181,7 @@
 	return &d, wire.Unpack(r.Deployment, &d)
 }
 
+// learn takes in the members that the leader told.
 func (s *syncer) learn(members []string) {
 	if len(members) == 0 {
 		return
@@ -190,6 +191,22 @@
 	s.members = members
 }
 
+// mostHeard bounds the control hosts kept beside the configured ones.
+const mostHeard = 64
+
+// hear adds addresses that a host told which does not lead. It may know less than
+// this process: a host that lost all it knew names its seeds, which may be as lost.
+func (s *syncer) hear(addrs []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range addrs {
+		if !slices.Contains(s.members, a) {
+			s.members = append(s.members, a)
+		}
+	}
+	s.members = s.members[max(0, len(s.members)-mostHeard):]
+}
+
 // connect returns the connection to the leader, or to the next control host.
 func (s *syncer) connect(ctx context.Context) (*rpc.Conn, error) {
 	s.mu.Lock()
--- a/internal/app/gateway/syncer_test.go
+++ b/internal/app/gateway/syncer_test.go
@@ -168,3 +168,21 @@
 	is.True(typical("rare") < tellEvery/3)
 	is.True(typical("busy") > tellEvery/3) // those would be told all the time
 }
+
+// Symptom: an entry that knew the leader's address forgets it and serves nothing more.
+// Sequence: the leader told its members; the entry asks a host that has lost all it
+// knew and names its seeds, which have too.
+// Cause: what a host that does not lead told replaced what the entry knew.
+func TestHostThatLostAllTakesNothingFromAnEntry(t *testing.T) {
+	is := is.New(t)
+	s := &syncer{seeds: []string{"seed:1"}}
+	s.learn([]string{"disk:1", "disk:2"})
+	s.hear([]string{"seed:1", "seed:2"})
+	is.Equal(s.candidates(), []string{"disk:1", "disk:2", "seed:1", "seed:2"})
+	for i := range 2 * mostHeard {
+		s.hear([]string{fmt.Sprint("told:", i)})
+	}
+	is.Equal(len(s.members), mostHeard)
+	s.learn([]string{"disk:3"}) // the leader knows
+	is.Equal(s.candidates(), []string{"disk:3", "seed:1"})
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -83,7 +83,7 @@
 func (r *Roster) Next(now time.Time, st consensus.Status) (Change, bool) {
 	const disk, volatile = false, true
 	for _, rule := range []func(time.Time, consensus.Status) (Change, bool){
-		r.dropReplaced(disk), r.dropExtraVoter, r.admit(disk), r.promote,
+		r.readdress, r.dropReplaced(disk), r.dropExtraVoter, r.admit(disk), r.promote,
 		r.dropReplaced(volatile), r.admit(volatile), r.forget,
 	} {
 		if c, due := rule(now, st); due {
@@ -93,6 +93,31 @@
 	return Change{}, false
 }
 
+// readdress notes the address of a member that asks to join, under its own identity,
+// from another one than the log says. It comes before dropReplaced: of two hosts that
+// exchanged their addresses, neither has lost anything.
+func (r *Roster) readdress(now time.Time, st consensus.Status) (Change, bool) {
+	for id, j := range r.joiners {
+		m, member := st.Membership.Find(id)
+		if member && m.Addr != j.Addr && now.Sub(j.At) <= joinerStays {
+			m.Addr = j.Addr
+			return Change{Member: m, Reason: "its address has changed"}, true
+		}
+	}
+	return Change{}, false
+}
+
+// Silent returns the members that were not heard for longer than d.
+func (r *Roster) Silent(now time.Time, d time.Duration, st consensus.Status) []consensus.NodeID {
+	var out []consensus.NodeID
+	for _, m := range st.Membership.Members {
+		if m.ID != st.ID && r.silent(now, m.ID) > d {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
 // dropReplaced removes an identity whose address asks to join under another one: the
 // host lost its disk, or never had one and started anew, so the old identity can never
 // answer again. Were it kept, it would count towards every quorum while it cannot vote.
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -152,3 +152,26 @@
 	c, due = r.Next(now, members(ms...))
 	is.True(due && c.Remove && c.Member.Volatile) // and only then the others
 }
+
+// Symptom: two hosts lose their votes though neither lost anything.
+// Sequence: both come back at each other's address.
+// Cause: the address of one, asked for under another identity, was taken for that of a
+// host that lost its disk.
+func TestHostsThatExchangedAddressesKeepTheirIdentities(t *testing.T) {
+	is := is.New(t)
+	r := New(DefaultConfig(1), start)
+	now := start.Add(time.Second)
+	r.Join(Joiner{ID: 2, Addr: "c", At: now})
+	r.Join(Joiner{ID: 3, Addr: "b", At: now})
+	st := members(three()...)
+	for range 2 {
+		c, due := r.Next(now, st)
+		is.True(due && !c.Remove)
+		is.True(c.Member.Voter)
+		st.Membership = st.Membership.With(c.Member)
+	}
+	_, due := r.Next(now, st)
+	is.True(!due)
+	m, _ := st.Membership.Find(2)
+	is.Equal(m.Addr, "c")
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -30,6 +30,7 @@
 	MethodStatus    = "status"    // -> ControlStatus
 	MethodMember    = "member"    // MemberParams -> MemberResult
 	MethodJoin      = "join"      // JoinParams -> JoinResult; the leader decides when to admit
+	MethodGreet     = "greet"     // Greeting -> Greeting
 	MethodPull      = "pull"      // PullParams -> PullResult; the leader holds it until something changed
 	MethodTell      = "tell"      // TellParams -> nothing; what waits and runs at an entry
 	MethodCommit    = "commit"    // command on behalf of a subscriber -> state.Result
@@ -257,6 +258,16 @@
 	Volatile  bool             `json:"volatile,omitempty"`  // the host has no disk
 }
 
+// Greeting is what control hosts tell each other of themselves and of addresses, in a
+// call and its answer. It decides nothing: see package contact.
+type Greeting struct {
+	Group  ident.Group      `json:"group"`
+	ID     consensus.NodeID `json:"id"`
+	Addr   string           `json:"addr"`
+	Leader string           `json:"leader,omitempty"` // address of the leader that the sender hears or is
+	Known  []string         `json:"known,omitempty"`  // addresses of other control hosts
+}
+
 // PullParams asks the leader what changed for an entry that reaches endpoints
 // directly.
 type PullParams struct {
