--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -108,6 +108,8 @@
 	told    time.Time     // when entries were told of changes last
 	news    bool          // entries have not been told of all changes
 	noted   time.Time     // when demand was logged last
+
+	unreadable int // entries of the list, as logged last
 }
 
 // New returns a Controller; Run starts it.
@@ -288,12 +290,22 @@
 				c.cfg.Log.Info().Int("endpoints", len(l.Endpoints)).Int("calls", l.Calls).Dur("took", took).Msg("endpoint_list_read")
 			}
 			c.listOK = true
+			c.noteUnreadable(l)
 			c.planner.List(now, l.Endpoints)
 			c.board.listed(asked, usualAge(l.Calls, took))
 		})
 	}()
 }
 
+// noteUnreadable tells of entries that could not be used, when their number changes.
+func (c *Controller) noteUnreadable(l fleet.Listing) {
+	c.met.unreadable(l.Unreadable)
+	if l.Unreadable != c.unreadable {
+		c.cfg.Log.Warn().Int("entries", l.Unreadable).Int("before", c.unreadable).Str("first", l.Why).Msg("list_entries_unreadable")
+		c.unreadable = l.Unreadable
+	}
+}
+
 // usualAge returns how old the list gets in the usual course, from a read that took
 // so many calls and so long. Only what the pace between calls explains is counted.
 // Symptom otherwise: one slow call makes entries trust an old list for seconds more,
@@ -309,6 +321,9 @@
 		c.cfg.Log.Info().Str("endpoint", string(s.Endpoint)).Str("op", string(s.Op)).Str("model", s.Want.Model).Str("adapter", s.Want.Adapter).
 			Uint64("expected", s.Expected).Str("source", string(s.Source)).Str("result", s.Result).Dur("took", s.Took).Msg("order_settled")
 	}
+	for _, s := range w.Started {
+		c.cfg.Log.Warn().Str("endpoint", string(s.Endpoint)).Str("before", string(s.Before)).Msg("endpoint_started_again")
+	}
 	for _, o := range w.Orders {
 		go c.order(c.planner, c.term, o)
 	}
--- a/internal/app/controller/metrics.go
+++ b/internal/app/controller/metrics.go
@@ -24,6 +24,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cassiapass_fleet_orders_total{op=%q,answer=%q}`, o.Op, a)).Inc()
 }
 
+// unreadable counts entries of the list that could not be used.
+func (m *metrics) unreadable(n int) {
+	m.set.GetOrCreateCounter("cassiapass_fleet_list_unreadable_total").Add(n)
+}
+
 // planned counts a plan and how long it took.
 func (m *metrics) planned(took time.Duration) {
 	m.set.GetOrCreateHistogram("cassiapass_fleet_plan_seconds").Update(took.Seconds())
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -46,7 +46,7 @@
 	cc.Bind(ctx)
 	x.logSent(e, cc)
 	h := x.r.Header.Clone()
-	x.g.cfg.Dialect.Write(h, Sending{Left: time.Until(x.until), Endpoint: e.ID, Priority: x.route.Priority, LastEvent: x.lastEvent})
+	x.g.cfg.Dialect.Write(h, Sending{Left: time.Until(x.until), Endpoint: e.Name(), Priority: x.route.Priority, LastEvent: x.lastEvent})
 	cc.Send(x.r.Method, x.r.Target, x.r.Host, h, x.r.Body)
 	resp, v, err := x.receive(cc, e)
 	if err != nil {
@@ -86,7 +86,7 @@
 		if err != nil {
 			return nil, Verdict{}, err
 		}
-		v := x.g.cfg.Dialect.Judge(e.ID, resp.Status, resp.Header)
+		v := x.g.cfg.Dialect.Judge(e.Name(), resp.Status, resp.Header)
 		if v.ID == x.ask.ID {
 			return resp, v, nil
 		}
--- a/internal/app/gateway/dialect.go
+++ b/internal/app/gateway/dialect.go
@@ -15,7 +15,8 @@
 	// Fields that only the gateway may set are removed first.
 	Write(h http.Header, s Sending)
 	// Judge reads the answer of the endpoint that was asked.
-	Judge(asked fleet.EndpointID, status int, h http.Header) Verdict
+	// It is named as in Sending.
+	Judge(asked string, status int, h http.Header) Verdict
 }
 
 // Ask is what a caller's header fields say.
@@ -30,8 +31,8 @@
 // Sending is what an endpoint is told beside the caller's own fields.
 type Sending struct {
 	Left      time.Duration // until the answer is of no use any more
-	Endpoint  fleet.EndpointID
-	Priority  int // 0 is the most urgent
+	Endpoint  string        // the platform's name for it
+	Priority  int           // 0 is the most urgent
 	LastEvent string
 }
 
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -74,7 +74,7 @@
 // merge takes endpoints in. Whoever is not listed is gone.
 func (d *directory) merge(eps []fleet.Endpoint, models bool) {
 	listed := make(map[fleet.EndpointID]bool, len(eps))
-	for _, ep := range eps {
+	for _, ep := range fleet.Latest(eps, d.starts()) {
 		listed[ep.ID] = true
 		d.put(ep, models)
 	}
@@ -85,6 +85,17 @@
 	}
 }
 
+// starts returns the starts that are known, by the platform's names for them.
+func (d *directory) starts() map[string]fleet.Endpoint {
+	out := make(map[string]fleet.Endpoint, len(d.byID))
+	for _, e := range d.byID {
+		if o, known := out[e.Name()]; !known || o.Born < e.Born {
+			out[e.Name()] = e.Endpoint
+		}
+	}
+	return out
+}
+
 // put takes one endpoint in. Without models only what the platform's list alone
 // tells is taken: it lags behind the leader's knowledge of models.
 func (d *directory) put(ep fleet.Endpoint, models bool) {
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-func (testDialect) Judge(_ fleet.EndpointID, status int, h http.Header) Verdict {
+func (testDialect) Judge(_ string, status int, h http.Header) Verdict {
 	return Verdict{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Lacks: status == http.StatusMisdirectedRequest}
 }
 
--- a/internal/core/fleet/engine.go
+++ b/internal/core/fleet/engine.go
@@ -22,6 +22,8 @@
 	asked    time.Time
 	asking   bool
 	order    *underway
+	late     []late    // orders without an answer that may still be carried out
+	barred   []late    // of earlier starts of this process
 	touched  time.Time // newest order or report
 	shunned  time.Time // not to be used before
 	running  int
@@ -218,6 +220,11 @@
 	if e.order != nil && e.order.Op == Load && e.order.Want.Adapter != "" {
 		n++
 	}
+	for _, l := range e.barred {
+		if l.Want.Adapter != "" {
+			n++
+		}
+	}
 	return n
 }
 
@@ -236,6 +243,11 @@
 			}
 		}
 	}
+	for _, l := range e.barred {
+		if m := eng.Models[l.Want.Model]; m != nil && l.Want.Adapter == "" && e.held[l.Want.Model] == nil {
+			sum += m.Megabytes
+		}
+	}
 	return sum
 }
 
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -12,6 +12,7 @@
 	Orders  []Order
 	Queries []Query
 	Settled []Settled // since the last plan
+	Started []Started // since the last plan
 }
 
 // Query asks an engine for its report.
@@ -61,6 +62,10 @@
 	p.sum()
 	p.look = p.survey()
 	w.Settled, p.settled = p.settled, nil
+	w.Started, p.started = p.started, nil
+	for _, e := range p.engines {
+		e.barred = e.expected(now)
+	}
 	p.relieve(now, &w)
 	for _, want := range p.urgent(now) {
 		p.serve(now, want, &w)
@@ -163,7 +168,7 @@
 
 // give records an order as under way and hands it out.
 func (p *Planner) give(now time.Time, e *engine, o Order, takes time.Duration, w *Work) {
-	o.Endpoint, o.Addr, o.Expected = e.ep.ID, e.ep.Addr, e.sequence
+	o.Endpoint, o.Server, o.Addr, o.Expected = e.ep.ID, e.ep.Name(), e.ep.Addr, e.sequence
 	e.order = &underway{Order: o, given: now, takes: takes, due: now.Add(takes + reportLag)}
 	e.touched = now
 	if o.Source == FromStore {
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -96,6 +96,7 @@
 	atOnce   int                        // loads from the store that may be under way
 	store    int                        // loads from the store under way
 	settled  []Settled
+	started  []Started
 	look     *survey // of the plan under way
 	changed  bool    // what entries know of the engines is out of date
 	unsummed bool    // wants and the engines' runs lack what entries told last
@@ -139,18 +140,27 @@
 // List takes in the platform's list, read at the given time.
 func (p *Planner) List(now time.Time, eps []Endpoint) {
 	listed := make(map[EndpointID]bool, len(eps))
-	for _, ep := range eps {
+	byName := p.byName()
+	for _, ep := range Latest(eps, p.starts()) {
 		listed[ep.ID] = true
 		e, known := p.engines[ep.ID]
+		if old := byName[ep.Name()]; !known && old != nil {
+			p.succeed(now, old, ep)
+			continue
+		}
 		if !known {
 			p.engines[ep.ID] = newEngine(ep, now)
 			p.changed = true
 			continue
 		}
+		e.ep.Born = ep.Born
 		if e.ep.Leaving != ep.Leaving {
 			e.ep.Leaving, p.changed = ep.Leaving, true
 			e.doubt = true // its report tells how long it stays
 		}
+		if ep.Untold {
+			continue
+		}
 		e.setCopies(ep.Copies)
 		if e.order == nil && now.Sub(e.touched) > p.cfg.Settle && e.hold(ep.Held, now) {
 			p.changed = true
@@ -163,6 +173,24 @@
 	}
 }
 
+// byName returns the engines by the platform's names for them.
+func (p *Planner) byName() map[string]*engine {
+	out := make(map[string]*engine, len(p.engines))
+	for _, e := range p.engines {
+		out[e.ep.Name()] = e
+	}
+	return out
+}
+
+// starts returns the starts that are known, by the platform's names.
+func (p *Planner) starts() map[string]Endpoint {
+	out := make(map[string]Endpoint, len(p.engines))
+	for _, e := range p.engines {
+		out[e.ep.Name()] = e.ep
+	}
+	return out
+}
+
 func (p *Planner) drop(e *engine) {
 	p.endOrder(e)
 	delete(p.engines, e.ep.ID)
--- a/internal/core/fleet/planner_test.go
+++ b/internal/core/fleet/planner_test.go
@@ -79,7 +79,7 @@
 	for id, e := range s.engines {
 		for m := range e.held {
 			if s.r.IntN(4) == 0 {
-				us = append(us, Use{Endpoint: id, Want: Want{Model: m}, Running: s.r.IntN(8), Begun: 1})
+				us = append(us, Use{Endpoint: StartID(string(id), e.born), Want: Want{Model: m}, Running: s.r.IntN(8), Begun: 1})
 			}
 		}
 	}
--- a/internal/core/fleet/results.go
+++ b/internal/core/fleet/results.go
@@ -23,6 +23,7 @@
 		// shows a sequence number beyond it, or the same one: then the order
 		// is given again under that number, which bars the first copy.
 		e.doubt, e.sure = true, false
+		e.noteLate(now, o)
 	case Unsent:
 		p.finish(now, e, "not sent")
 		e.shunned = now.Add(p.cfg.Backoff)
@@ -150,6 +151,17 @@
 		return
 	}
 	e.asking = false
+	switch other, later := e.restarted(now, r); {
+	case later:
+		ep := e.ep
+		ep.ID, ep.Born, ep.Held, ep.Copies, ep.Leaving = StartID(ep.Name(), r.Born), r.Born, nil, r.Copies, r.Leaving
+		p.succeed(now, e, ep)
+		return
+	case other:
+		return // made by an earlier start; it is asked again
+	case e.ep.Born == 0 && r.Born != 0:
+		e.ep.Born = r.Born
+	}
 	if r.Sequence < e.sequence {
 		// It was made before the newest order was accepted. Taken for the
 		// present state it would hide a model that was loaded since, and the
--- a/internal/core/fleet/sim_test.go
+++ b/internal/core/fleet/sim_test.go
@@ -23,6 +23,10 @@
 	past     []pastReport
 	crashed  string
 	heedless bool // carries orders out whatever sequence number they name
+	born     int64
+	silent   bool     // the platform's list does not tell when it started
+	before   Endpoint // as the list shows it until lags
+	lags     time.Time
 	disk     map[string]bool
 }
 
@@ -43,13 +47,36 @@
 }
 
 func (s *simEngine) report() Report {
-	r := Report{Busy: s.pending != nil, Sequence: s.sequence, Copies: Copies{Disk: slices.Sorted(maps.Keys(s.disk))}}
+	r := Report{Born: s.born, Busy: s.pending != nil, Sequence: s.sequence, Copies: Copies{Disk: slices.Sorted(maps.Keys(s.disk))}}
 	for _, m := range slices.Sorted(maps.Keys(s.held)) {
 		r.Held = append(r.Held, Held{Model: m, Version: 1, Adapters: slices.Sorted(maps.Keys(s.held[m]))})
 	}
 	return r
 }
 
+// listed returns the engine's entry in the platform's list.
+func (s *simEngine) listed(now time.Time) Endpoint {
+	if now.Before(s.lags) {
+		return s.before
+	}
+	ep, r := s.ep, s.lagging(now)
+	ep.Held, ep.Copies = r.Held, r.Copies
+	ep.Server, ep.Born = string(s.ep.ID), s.born
+	if s.silent {
+		ep.Born = 0
+	}
+	ep.ID = StartID(ep.Server, ep.Born)
+	return ep
+}
+
+// restart ends the process and starts it again, empty, under the same name. The list
+// shows the process before for another 0.8 s.
+func (s *simEngine) restart(now time.Time) {
+	s.before, s.lags = s.listed(now), now.Add(800*time.Millisecond)
+	s.born = now.UnixMilli()
+	s.sequence, s.held, s.pending, s.past = 0, map[string]map[string]bool{}, nil, nil
+}
+
 // lagging returns the report of some 100 ms ago. Its sequence number is the
 // present one: real engines have been seen to report some values sooner than
 // others.
@@ -172,10 +199,7 @@
 func (s *simulation) list() {
 	var eps []Endpoint
 	for _, e := range s.engines {
-		ep := e.ep
-		r := e.lagging(s.now)
-		ep.Held, ep.Copies = r.Held, r.Copies
-		eps = append(eps, ep)
+		eps = append(eps, e.listed(s.now))
 	}
 	s.p.List(s.now, eps)
 }
@@ -202,7 +226,7 @@
 		s.carryOut(o)
 	}
 	for _, q := range w.Queries {
-		e := s.engines[q.Endpoint]
+		e := s.engines[EndpointID(q.Addr)]
 		s.after(2*simStep, func() { s.p.Reported(s.now, q.Endpoint, e.lagging(s.now)) })
 	}
 	s.most = max(s.most, s.p.store)
@@ -220,7 +244,7 @@
 }
 
 func (s *simulation) carryOut(o Order) {
-	e := s.engines[o.Endpoint]
+	e := s.engines[EndpointID(o.Server)]
 	if s.r.Float64() < s.lose {
 		// No answer; carried out up to 12 s later, after newer orders, or at once.
 		wait := time.Duration(s.r.IntN(12000)) * time.Millisecond
--- a/internal/core/fleet/types.go
+++ b/internal/core/fleet/types.go
@@ -7,13 +7,16 @@
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 )
 
-// EndpointID names one start of an endpoint's process. After a restart the
-// endpoint has another one, and nothing known of the old one holds.
+// EndpointID names one start of an endpoint's process: see StartID. After a restart
+// the endpoint has another one, also if the platform knows it under the same name, and
+// nothing known of the old one holds.
 type EndpointID string
 
 // Endpoint is one endpoint as the platform lists it.
 type Endpoint struct {
 	ID      EndpointID `json:"id"`
+	Server  string     `json:"server,omitempty"` // the platform's name for it; the ID if empty
+	Born    int64      `json:"born,omitempty"`   // when its process started, Unix milliseconds; 0 if not told
 	Service string     `json:"service"`
 	Addr    string     `json:"addr"` // IP number and port
 	Zone    ident.Zone `json:"zone"`
@@ -21,12 +24,17 @@
 	Leaving bool       `json:"leaving,omitempty"` // takes no new requests
 	Held    []Held     `json:"held,omitempty"`
 	Copies  Copies     `json:"copies,omitzero"`
+	Untold  bool       `json:"-"` // Held and Copies are not told, or not of this start
 }
 
 // Listing is the platform's list as it was read.
 type Listing struct {
 	Endpoints []Endpoint
 	Calls     int // calls that the read took: the platform bounds their rate
+	// Unreadable is how many entries name no endpoint to use, and Why what is wrong
+	// with the first of them.
+	Unreadable int
+	Why        string
 }
 
 // ErrTooOften tells that the platform refused to tell its list because too many calls
@@ -48,6 +56,7 @@
 
 // Report is an engine's own word on its state. It lags by some 100 ms.
 type Report struct {
+	Born     int64  // when the process that answered started, as in Endpoint
 	Busy     bool   // a load or unload of weights is being carried out
 	Sequence uint64 // orders accepted since the engine started
 	Held     []Held
@@ -77,6 +86,7 @@
 // Order tells an engine to load or unload a model or an adapter of one.
 type Order struct {
 	Endpoint EndpointID
+	Server   string // the platform's name for the endpoint
 	Addr     string
 	Op       Operation
 	Want     Want
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -33,6 +33,14 @@
 echo "== test with the race detector"
 go test -race -timeout 20m ${known:+-skip "^($known)\$"} ./...
 
+# What comes from outside is decoded from whatever bytes it has. A few seconds each
+# find what is easily found; an input that fails is kept under testdata/fuzz and is a
+# test from then on.
+echo "== fuzz what is read from outside, 4 s each"
+for target in FuzzListEntry FuzzReport FuzzDocument; do
+  go test ./platform -run '^$' -fuzz "^$target\$" -fuzztime 4s -fuzzminimizetime 20x | grep -E '^(ok|FAIL|---)|elapsed: 4s'
+done
+
 if [ -n "$known" ]; then
   echo "== known to fail, see KNOWN-RED.txt"
   cat KNOWN-RED.txt
