A member that has heard no leader since its start campaigns soon

Change: from a process's start until it hears a leader it campaigns after 150 to 300 ms. Members that hear a leader ignore pre-votes, so a restarted member disturbs nobody. Tests: TestMemberThatHasHeardNoLeaderCampaignsSoon; the random schedules of consensus run with it. Benchmark: led 0.51 s after a kill of all before, 0.19 s after.

--- a/internal/app/control/contacts_test.go
+++ b/internal/app/control/contacts_test.go
@@ -114,3 +114,21 @@
 	}
 	return true
 }
+
+// BenchmarkLeadAfterKillOfAll tells how long after a kill of all processes a leader
+// leads again: 0.51 s with the usual election timeout from the start on, 0.19 s so.
+func BenchmarkLeadAfterKillOfAll(b *testing.B) {
+	s := newSite(b, 4)
+	s.eventually("formed", func() bool { return s.settled(4) })
+	for b.Loop() {
+		s.darken()
+		s.eventually("led", func() bool {
+			for _, c := range s.hosts {
+				if c.Lead().Leading {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -137,7 +137,7 @@
 		onDeploy: c.cfg.OnDeploy, rosterUsed: c.cfg.Seeds.used(), rosterCfg: c.cfg.Seeds.Roster,
 	}
 	c.loop.node = consensus.New(consensus.Config{
-		ID: c.id, ElectionTicks: electionTicks, HeartbeatTicks: voterBeat, ObserverTicks: observerBeat,
+		ID: c.id, ElectionTicks: electionTicks, StartTicks: startTicks, HeartbeatTicks: voterBeat, ObserverTicks: observerBeat,
 		Rand: rand.IntN, HardState: res.HardState, Snapshot: res.Snapshot, Entries: res.Entries,
 	})
 	c.hub.reset(ident.Index(res.Snapshot.Index))
--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -27,7 +27,7 @@
 
 // site is a group of control hosts that nobody manages by hand.
 type site struct {
-	t     *testing.T
+	t     testing.TB
 	addrs []string
 	dirs  []string
 	hosts []*Control // nil while down
@@ -38,7 +38,7 @@
 }
 
 // freeAddrs returns addresses that nothing listens on.
-func freeAddrs(t *testing.T, n int) []string {
+func freeAddrs(t testing.TB, n int) []string {
 	t.Helper()
 	var out []string
 	for range n {
@@ -54,7 +54,7 @@
 
 // newSite starts n hosts, the first three of which are the seeds.
 // Those in volatile have no disk.
-func newSite(t *testing.T, n int, volatile ...int) *site {
+func newSite(t testing.TB, n int, volatile ...int) *site {
 	t.Helper()
 	s := &site{t: t, addrs: freeAddrs(t, n), hosts: make([]*Control, n), volatile: map[int]bool{}}
 	for _, i := range volatile {
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -20,6 +20,10 @@
 const (
 	tickEvery     = 50 * time.Millisecond
 	electionTicks = 8 // 400 to 800 ms of silence before a follower campaigns
+	// startTicks is that from the start of a process until it hears a leader: 150 to
+	// 300 ms. After a kill of all processes a leader leads 0.19 s after they are back,
+	// 0.51 s with electionTicks (means of BenchmarkLeadAfterKillOfAll).
+	startTicks    = 3
 	voterBeat     = 2 // ticks between heartbeats to voters
 	observerBeat  = 10
 	taskQueue     = 8192
--- a/internal/core/consensus/election.go
+++ b/internal/core/consensus/election.go
@@ -8,6 +8,7 @@
 	}
 	n.role = Follower
 	n.lead = lead
+	n.met = n.met || lead != None
 	n.elapsed = 0
 	n.transfer = None
 	n.progress = nil
@@ -98,7 +99,7 @@
 func (n *Node) becomeLeader() {
 	invariant(n.vote == n.id, "leader did not vote for itself", n.term, uint64(n.vote))
 	n.role = Leader
-	n.lead = n.id
+	n.lead, n.met = n.id, true
 	n.elapsed, n.heartbeat = 0, 0
 	n.transfer = None
 	n.reads = nil
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -15,8 +15,12 @@
 
 // Config is what a Node is made from.
 type Config struct {
-	ID             NodeID
-	ElectionTicks  int             // a follower campaigns after this many to twice as many silent ticks
+	ID            NodeID
+	ElectionTicks int // a follower campaigns after this many to twice as many silent ticks
+	// StartTicks takes the place of ElectionTicks from the start of the process until a
+	// leader is heard; 0 for ElectionTicks. It may be short: members that hear a leader
+	// ignore who asks for a vote, so that it costs nothing while one leads.
+	StartTicks     int
 	HeartbeatTicks int             // ticks between heartbeats to voters
 	ObserverTicks  int             // ticks between heartbeats to non-voting members
 	Rand           func(n int) int // uniform in [0,n); handed in so that runs repeat
@@ -41,7 +45,8 @@
 
 	elapsed   int // ticks since the last sign of a leader, or of the last quorum check
 	heartbeat int
-	timeout   int // randomised election timeout
+	timeout   int  // randomised election timeout
+	met       bool // a leader was heard, or this member led, since the process began
 	ballots   map[NodeID]bool
 	progress  map[NodeID]*progress
 	transfer  NodeID
@@ -270,7 +275,11 @@
 }
 
 func (n *Node) resetTimeout() {
-	n.timeout = n.cfg.ElectionTicks + n.cfg.Rand(n.cfg.ElectionTicks)
+	ticks := n.cfg.ElectionTicks
+	if !n.met && n.cfg.StartTicks > 0 {
+		ticks = n.cfg.StartTicks
+	}
+	n.timeout = ticks + n.cfg.Rand(ticks)
 }
 
 // Propose appends a command and returns its index. The command is decided only
--- a/internal/core/consensus/observer_test.go
+++ b/internal/core/consensus/observer_test.go
@@ -25,3 +25,23 @@
 	n.Step(Message{Type: MsgHeartbeat, From: 1, To: 2, Term: 3})
 	is.Equal(n.Leader(), NodeID(1))
 }
+
+// Symptom: after all processes were killed nothing is decided for half a second.
+// Cause: a member that has just begun waits as long as if a leader might be about.
+func TestMemberThatHasHeardNoLeaderCampaignsSoon(t *testing.T) {
+	is := is.New(t)
+	const start, usual = 3, 10
+	ms := Membership{Members: []Member{{ID: 1, Voter: true}, {ID: 2, Voter: true}}}
+	n := New(Config{ID: 2, ElectionTicks: usual, StartTicks: start, HeartbeatTicks: 2, ObserverTicks: 4, Rand: func(n int) int { return n - 1 }, Snapshot: Bootstrap(ms)})
+	silence := func() int {
+		for ticks := 1; ; ticks++ {
+			n.Tick()
+			if n.role == PreCandidate {
+				return ticks
+			}
+		}
+	}
+	is.Equal(silence(), 2*start-1)
+	n.Step(Message{Type: MsgHeartbeat, From: 1, To: 2, Term: 3})
+	is.Equal(silence(), 2*usual-1) // from then on a short silence may be a lost heartbeat
+}
--- a/internal/core/consensus/random_test.go
+++ b/internal/core/consensus/random_test.go
@@ -96,7 +96,7 @@
 	n.st, n.up = st, true
 	n.waits, n.reads = map[uint64]*wait{}, map[uint64]*client{}
 	n.node = consensus.New(consensus.Config{
-		ID: n.id, ElectionTicks: 10, HeartbeatTicks: 2, ObserverTicks: 4, Rand: s.r.IntN,
+		ID: n.id, ElectionTicks: 10, StartTicks: 3, HeartbeatTicks: 2, ObserverTicks: 4, Rand: s.r.IntN,
 		HardState: n.hs, Snapshot: n.snap, Entries: slices.Clone(n.ents),
 	})
 }
--- a/internal/core/consensus/step.go
+++ b/internal/core/consensus/step.go
@@ -79,7 +79,7 @@
 	if n.role != Follower {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.lead = m.From
+	n.lead, n.met = m.From, true
 	n.elapsed = 0
 }
 
