A new leader orders at once after a holder that was settled

Hypothesis: one handover is safe, as orders are confirmed with a quorum and bear the engine's sequence number; only holders that take turns must be kept apart. Not kept: leaders that change again and again would take turns. Change: core/holder. Leaders note in the log that they hold the engines, and that they did for a lease; the next one waits only where the second note is missing. Tests: 2,000 random courses of leaders never take turns, without waiting they do; a leader after a settled holder orders within 0.5 s (3 s before), after one of a moment it waits.

--- a/internal/app/control/deployment.go
+++ b/internal/app/control/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
+	"github.com/cassiapass/cassiapass/internal/core/holder"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 )
 
@@ -74,6 +75,20 @@
 	return nil
 }
 
+// Holder returns the newest note on who holds the engines, as this host has applied it.
+func (c *Control) Holder() holder.Record {
+	var r holder.Record
+	_ = c.loop.with(func() { r = c.loop.st.Holder() })
+	return r
+}
+
+// NoteHolder notes in the log that this host holds the engines. It returns nil when that
+// is decided; a host that does not lead decides nothing.
+func (c *Control) NoteHolder(ctx context.Context, r holder.Record) error {
+	_, err := c.proposeHere(ctx, state.Command{By: "control", Holder: &r})
+	return err
+}
+
 // noteDeployment tells the owner of a change of the deployment. It runs in the
 // loop.
 func (l *loop) noteDeployment() {
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -10,6 +10,8 @@
 	"github.com/cassiapass/cassiapass/internal/app/control"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
+	"github.com/cassiapass/cassiapass/internal/core/holder"
+	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/port"
 )
@@ -60,10 +62,11 @@
 	Fleet  port.Fleet
 	Decode func(text string) (*deploy.Config, error)
 	Plan   fleet.Config
-	// Hold is the pause before a new leader's first order. Engines that refuse
-	// old fencing numbers need none; for others it must outlast the orders
-	// that an earlier leader may still have under way.
-	Hold time.Duration
+	// Host is this host. Lease is the time within which holders of the engines must not
+	// take turns, where engines do not refuse old fencing numbers; 0 where they do. See
+	// package holder.
+	Host  ident.HostID
+	Lease time.Duration
 	// TellRate is how many bytes a second entries may be told together; 0 for what
 	// suits a link of 100 Mbit/s.
 	TellRate float64
@@ -79,6 +82,10 @@
 	LeaderAddr() string
 	Members() []string
 	DeploymentHere() state.Deployment
+	// Holder returns the newest note on who holds the engines.
+	Holder() holder.Record
+	// NoteHolder decides such a note; it fails on a host that does not lead.
+	NoteHolder(ctx context.Context, r holder.Record) error
 }
 
 // Controller is the running controller of one control host.
@@ -94,7 +101,7 @@
 
 	// Owned by the loop.
 	term    uint64 // 0 while not leading
-	began   time.Time
+	hold    hold
 	fenced  uint64 // term in which a newer leader's orders were met
 	planner *fleet.Planner
 	decoded uint64 // version of the planner's deployment
@@ -209,7 +216,8 @@
 }
 
 func (c *Controller) begin(now time.Time, term uint64) {
-	c.term, c.began = term, now
+	c.term = term
+	c.beginHold(now)
 	c.planner = fleet.New(c.cfg.Plan)
 	c.decoded, c.rev = 0, 0
 	c.listed, c.listOK = time.Time{}, false
@@ -227,7 +235,8 @@
 	if !c.listing && now.Sub(c.listed) >= listEvery {
 		c.list(now)
 	}
-	if c.listOK && c.fenced != c.term && now.Sub(c.began) >= c.cfg.Hold {
+	c.keepHold(now)
+	if c.listOK && c.fenced != c.term && c.hold.noted {
 		c.carryOut(c.planner.Plan(now))
 		c.met.planned(time.Since(now))
 	}
--- a/internal/app/controller/controller_test.go
+++ b/internal/app/controller/controller_test.go
@@ -20,6 +20,7 @@
 	"github.com/cassiapass/cassiapass/internal/app/control"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
+	"github.com/cassiapass/cassiapass/internal/core/holder"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/wire"
@@ -31,6 +32,7 @@
 	lead      control.Lead
 	confirmed bool
 	dep       state.Deployment
+	holder    holder.Record
 }
 
 func (l *testLead) set(f func()) {
@@ -58,6 +60,17 @@
 
 func (l *testLead) Members() []string { return []string{"10.0.0.1:7000", "10.0.0.2:7000"} }
 
+func (l *testLead) Holder() holder.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder
+}
+
+func (l *testLead) NoteHolder(_ context.Context, r holder.Record) error {
+	l.set(func() { l.holder = l.holder.Next(r) })
+	return nil
+}
+
 func (l *testLead) DeploymentHere() state.Deployment { return l.dep }
 
 // testFleet is one engine that holds nothing and has every model on its disk.
@@ -96,11 +109,17 @@
 }
 
 func begin(t *testing.T, lead *testLead, fl *testFleet) *Controller {
+	t.Helper()
+	return beginWith(t, lead, fl, 0)
+}
+
+// beginWith is begin before engines that check no fencing numbers, if lease is not 0.
+func beginWith(t *testing.T, lead *testLead, fl *testFleet, lease time.Duration) *Controller {
 	t.Helper()
 	dep := &deploy.Config{Version: 3, Services: map[string]*deploy.Service{"llm": {Name: "llm", Engine: &deploy.Engine{
 		Slots: 8, Weights: 83000, AdapterPlaces: 2, Models: map[string]*deploy.Model{"m": {Name: "m", Megabytes: 20000, FromDisk: 50 * time.Millisecond}},
 	}}}}
-	c := New(Config{Fleet: fl, Decode: func(string) (*deploy.Config, error) { return dep, nil }, Plan: fleet.DefaultConfig(), Log: zerolog.Nop()})
+	c := New(Config{Fleet: fl, Decode: func(string) (*deploy.Config, error) { return dep, nil }, Plan: fleet.DefaultConfig(), Host: "h1", Lease: lease, Log: zerolog.Nop()})
 	c.Run(lead)
 	t.Cleanup(c.Stop)
 	return c
--- /dev/null
+++ b/internal/core/holder/holder_test.go
@@ -0,0 +1,92 @@
+package holder
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cassiapass/cassiapass/internal/core/ident"
+)
+
+const lease = 3 * time.Second
+
+// span is the time in which one host gave orders.
+type span struct {
+	host       ident.HostID
+	begin, end time.Duration
+}
+
+// turns plays random leaders, each of whom orders all the time that it may, and returns
+// the spans of orders. wait is the rule under test.
+func turns(seed uint64, wait func(Record, ident.HostID) time.Duration) []span {
+	r := rand.New(rand.NewPCG(seed, 3))
+	var rec Record
+	var out []span
+	now := time.Duration(0)
+	for term := uint64(1); term < 40; term++ {
+		host := ident.HostID(fmt.Sprint("h", r.IntN(3)))
+		end := now + time.Duration(r.IntN(6000))*time.Millisecond
+		if first := now + wait(rec, host); first < end {
+			rec = rec.Next(Record{Term: term, Host: host})
+			if end-first >= lease {
+				rec = rec.Next(Record{Term: term, Host: host, Settled: true})
+			}
+			if n := len(out); n > 0 && out[n-1].host == host {
+				out[n-1].end = end
+			} else {
+				out = append(out, span{host, first, end})
+			}
+		}
+		now = end + time.Duration(200+r.IntN(1000))*time.Millisecond
+	}
+	return out
+}
+
+// taken returns whether holders took turns: the orders of one ended less than a lease
+// before those of the holder after next began.
+func taken(ss []span) bool {
+	for i := 2; i < len(ss); i++ {
+		if ss[i].begin-ss[i-2].end < lease {
+			return true
+		}
+	}
+	return false
+}
+
+// Symptom: an engine that checks no fencing numbers is ordered by one host, by another
+// and by the first again within a moment.
+// Sequence: leaders change several times in a few seconds.
+func TestHoldersNeverTakeTurnsWithinALease(t *testing.T) {
+	for seed := range uint64(2000) {
+		ss := turns(seed, func(r Record, h ident.HostID) time.Duration { return Wait(r, h, lease) })
+		if taken(ss) {
+			t.Fatalf("seed %d: %v", seed, ss)
+		}
+		if len(ss) < 3 {
+			t.Fatalf("seed %d: hardly anybody orders: %v", seed, ss)
+		}
+	}
+}
+
+// The safeguard removed: leaders that order at once take turns.
+func TestWithoutWaitingHoldersTakeTurns(t *testing.T) {
+	if !taken(turns(1, func(Record, ident.HostID) time.Duration { return 0 })) {
+		t.Fatal("nothing notices")
+	}
+}
+
+// A leader after one that has led for long orders at once.
+func TestHandoverFromASettledHolderCostsNothing(t *testing.T) {
+	r := Record{}.Next(Record{Term: 3, Host: "a"}).Next(Record{Term: 3, Host: "a", Settled: true})
+	if w := Wait(r, "b", lease); w != 0 {
+		t.Fatalf("waits %v", w)
+	}
+	r = r.Next(Record{Term: 5, Host: "b"}).Next(Record{Term: 3, Host: "a", Settled: true}) // the second one late
+	if w := Wait(r, "a", lease); w != lease {
+		t.Fatalf("waits %v", w)
+	}
+	if w := Wait(r, "b", lease); w != 0 {
+		t.Fatalf("the same host waits %v", w)
+	}
+}
--- a/internal/core/state/apply.go
+++ b/internal/core/state/apply.go
@@ -56,6 +56,9 @@
 		return Result{Code: OK}
 	case c.Deploy != nil:
 		return s.deploy(c.By, *c.Deploy)
+	case c.Holder != nil:
+		s.holder = s.holder.Next(*c.Holder)
+		return Result{Code: OK}
 	}
 	return Result{Code: Invalid, Message: "the command is empty"}
 }
--- a/internal/core/state/command.go
+++ b/internal/core/state/command.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cassiapass/cassiapass/internal/core/holder"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/keepalive"
 	"github.com/cassiapass/cassiapass/internal/core/record"
@@ -23,6 +24,7 @@
 	Expire   *Expire         `json:"expire,omitempty"`
 	History  *History        `json:"history,omitempty"`
 	Deploy   *Deploy         `json:"deploy,omitempty"`
+	Holder   *holder.Record  `json:"holder,omitempty"`
 }
 
 // Submit writes a new record or revises one.
--- a/internal/core/state/deployment.go
+++ b/internal/core/state/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/cassiapass/cassiapass/internal/core/holder"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 )
 
@@ -51,6 +52,9 @@
 	}
 }
 
+// Holder returns the newest note on who holds the engines.
+func (s *State) Holder() holder.Record { return s.holder }
+
 // Deployed tells how a deployment would be answered if it changes nothing: it
 // was sent before, was overtaken, or clashes. The bool is false if it is new
 // and has to be decided. A resend thus costs no entry of the log.
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -9,6 +9,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/cassiapass/cassiapass/internal/core/holder"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/keepalive"
 	"github.com/cassiapass/cassiapass/internal/core/record"
@@ -37,6 +38,7 @@
 	audit    []AuditEvent
 	history  *keepalive.History
 	deployed Deployment
+	holder   holder.Record
 
 	changes []Change // of the command being applied
 }
@@ -168,12 +170,13 @@
 	Audit     []AuditEvent            `json:"audit"`
 	History   *keepalive.History      `json:"history"`
 	Deployed  *Deployment             `json:"deployed,omitempty"`
+	Holder    holder.Record           `json:"holder,omitzero"`
 }
 
 // Encode returns the state in the form that Decode reads.
 func (s *State) Encode() ([]byte, error) {
 	im := image{Index: s.index, Config: s.config, Now: s.now, Records: s.Records(), Results: s.results,
-		Endpoints: s.Endpoints(), Replicas: s.Replicas(), Audit: s.audit, History: s.history}
+		Endpoints: s.Endpoints(), Replicas: s.Replicas(), Audit: s.audit, History: s.history, Holder: s.holder}
 	if s.deployed.Version != 0 {
 		im.Deployed = &s.deployed
 	}
@@ -193,7 +196,7 @@
 	if err := json.Unmarshal(data, &im); err != nil {
 		return nil, oops.Wrapf(err, "decode state")
 	}
-	s.index, s.config, s.now, s.audit = im.Index, im.Config, im.Now, im.Audit
+	s.index, s.config, s.now, s.audit, s.holder = im.Index, im.Config, im.Now, im.Audit, im.Holder
 	if im.Results != nil {
 		s.results = im.Results
 	}
