--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -62,8 +62,11 @@
 	x := &exchange{g: g, c: c, r: r, arrived: time.Now(), tried: map[fleet.EndpointID]bool{}}
 	ask, err := g.cfg.Dialect.Read(r.Header)
 	x.ask = ask
-	t := g.table.Load()
-	if t == nil {
+	t, cause := x.deployment()
+	switch {
+	case cause != nil:
+		return x.finish(notRun, cause)
+	case t == nil:
 		return x.refuse(http.StatusServiceUnavailable, "no_deployment")
 	}
 	if err != nil {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -52,6 +52,8 @@
 	sync     *syncer
 	met      *metrics
 	table    atomic.Pointer[deploy.Table]
+	begun    time.Time
+	first    chan struct{} // closed when the first deployment is in force
 	entries  atomic.Int64 // entries that share the retry budget; 0 if not known
 	draining atomic.Bool
 	stopAt   atomic.Pointer[stopping]
@@ -83,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		cfg: cfg, listener: l, pool: http1.NewPool(dialTimeout), dir: newDirectory(cfg.Zone, cfg.Log), demands: newDemands(),
-		ctx: ctx, cancel: cancel, conns: map[*http1.Conn]bool{}, budgets: map[string]*limit.Shared{},
+		begun: time.Now(), first: make(chan struct{}), ctx: ctx, cancel: cancel, conns: map[*http1.Conn]bool{}, budgets: map[string]*limit.Shared{},
 	}
 	g.pace.perToken = firstPace
 	g.met = newMetrics(g)
@@ -115,7 +117,8 @@
 // deployed puts a deployment in force. An older one than the present is
 // ignored: a process never goes back.
 func (g *Gateway) deployed(d state.Deployment) {
-	if t := g.table.Load(); t != nil && t.Config().Version >= d.Version {
+	before := g.table.Load()
+	if before != nil && before.Config().Version >= d.Version {
 		return
 	}
 	cfg, err := g.cfg.Decode(d.Text)
@@ -124,6 +127,9 @@
 		return
 	}
 	g.table.Store(deploy.NewTable(cfg))
+	if before == nil {
+		close(g.first)
+	}
 	g.cfg.Log.Info().Uint64("version", d.Version).Int("routes", len(cfg.Routes)).Msg("deployment_in_force")
 }
 
