--- a/internal/app/lab/policy.go
+++ b/internal/app/lab/policy.go
@@ -22,7 +22,7 @@
 func Policies() []Policy {
 	use := fleet.DefaultConfig()
 	single := use
-	single.RatePerReplica, single.Crowded = 1e9, 1e9
+	single.ReplicaShare, single.RatePerReplica, single.Crowded = 0, 1e9, 1e9
 	patient := use
 	patient.IdleModel = 2 * time.Second
 	urgency := use
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -61,6 +61,7 @@
 	p.settleByTime(now)
 	p.sum()
 	p.look = p.survey()
+	p.observeStays(now)
 	w.Settled, p.settled = p.settled, nil
 	w.Started, p.started = p.started, nil
 	for _, e := range p.engines {
@@ -122,7 +123,7 @@
 func (p *Planner) replicate(now time.Time, w *Work) {
 	for _, name := range p.busiest(now) {
 		holders, _ := p.replicas(now, name)
-		want := min(int(math.Ceil(p.rate(now, name)/p.cfg.RatePerReplica)), p.mostReplicas())
+		want := min(int(math.Ceil(p.rate(now, name)/p.ratePerReplica(name))), p.mostReplicas())
 		for ; holders > 0 && holders < want; holders++ {
 			p.place(now, name, false, w)
 		}
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -25,10 +25,12 @@
 	// Crowded is the share of an engine's slots in use beyond which a model
 	// gets another replica.
 	Crowded float64
-	// RatePerReplica is how many requests a second one replica takes before the
-	// model gets another one. An engine that reads 38 prompt tokens a ms is a
-	// tenth busy with reading 900 tokens at 4 a second, which delays the tokens
-	// of others little.
+	// ReplicaShare is the share of an engine's slots that one model's requests may
+	// take before it gets another replica. How many requests a second that is follows
+	// from how long requests are seen to stay at engines.
+	ReplicaShare float64
+	// RatePerReplica is taken for that rate until it is known, and where ReplicaShare
+	// is 0.
 	RatePerReplica float64
 	// MostOfEngines is the share of the engines that one model may take.
 	MostOfEngines float64
@@ -70,6 +72,7 @@
 		StoreShare:     0.8,
 		RateHalfLife:   4 * time.Second, // demand moves to other models within some 5 s
 		Crowded:        0.5,             // half the slots leave room for a burst of twice the rate
+		ReplicaShare:   0.5,
 		RatePerReplica: 6,
 		MostOfEngines:  0.5,
 		Settle:         1500 * time.Millisecond,
@@ -99,7 +102,8 @@
 	started  []Started
 	look     *survey // of the plan under way
 	changed  bool    // what entries know of the engines is out of date
-	unsummed bool    // wants and the engines' runs lack what entries told last
+	stays    stays
+	unsummed bool // wants and the engines' runs lack what entries told last
 }
 
 // model is what is known of the demand for one model.
