--- /dev/null
+++ b/internal/app/ctl/losses.go
@@ -0,0 +1,171 @@
+package ctl
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// lossesCmd sorts the requests in log files that were not answered at once by what
+// decided that.
+type lossesCmd struct {
+	cli  *cli
+	Args struct {
+		Logs []string `positional-arg-name:"LOG" description:"log files or folders of them; standard input if none"`
+	} `positional-args:"yes"`
+}
+
+// loss is one cause with the requests that it held up or ended.
+type loss struct {
+	Cause    string         `json:"cause"`
+	Requests int            `json:"requests"`
+	Answered int            `json:"answered"`          // of these, those that were answered after all
+	Waited   float64        `json:"waitedMeanSeconds"` // for an endpoint
+	Routes   map[string]int `json:"routes"`
+	Seconds  map[int64]int  `json:"seconds"` // requests by the second in which they ended, from the first line on
+}
+
+// losses is all of them, the most frequent first.
+type losses struct {
+	Requests int    `json:"requests"` // that ended in the logs
+	Held     int    `json:"held"`     // of these, those that are sorted below
+	Causes   []loss `json:"causes"`
+}
+
+// Execute implements flags.Commander.
+func (x *lossesCmd) Execute([]string) error {
+	lines, err := readLines(x.Args.Logs, x.cli.in)
+	if err != nil {
+		return err
+	}
+	all := sortLosses(lines)
+	if all.Requests == 0 {
+		return fail(ExitNotFound, "no line tells how a request ended")
+	}
+	return x.cli.print(all, func() { x.table(all) })
+}
+
+func (x *lossesCmd) table(all losses) {
+	fmt.Fprintf(x.cli.out, "%d requests ended, %d of them not answered at once\n", all.Requests, all.Held)
+	w := tabwriter.NewWriter(x.cli.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "requests\tanswered\tmean wait s\tworst second\tcause\troutes")
+	for _, l := range all.Causes {
+		second, most := worst(l.Seconds)
+		fmt.Fprintf(w, "%d\t%d\t%.2f\t%d in second %d\t%s\t%s\n", l.Requests, l.Answered, l.Waited, most, second, l.Cause, byCount(l.Routes))
+	}
+	_ = w.Flush()
+}
+
+// sortLosses reads how requests ended.
+func sortLosses(lines []logLine) losses {
+	slices.SortStableFunc(lines, byTime)
+	var out losses
+	byCause := map[string]*loss{}
+	leaderless := map[string]bool{} // hosts that have lost the leader
+	for _, l := range lines {
+		event, host := l.Fields["event"], l.Fields["host"]
+		switch event {
+		case "control_lost":
+			leaderless[host] = true
+		case "control_regained", "deployment_in_force":
+			delete(leaderless, host)
+		}
+		ended, why := lossCause(l, leaderless[host])
+		if !ended {
+			continue
+		}
+		out.Requests++
+		if why != "" {
+			out.Held++
+			note(byCause, why, l, int64(l.at.Sub(lines[0].at)/time.Second))
+		}
+	}
+	for _, c := range byCause {
+		c.Waited /= float64(c.Requests)
+		out.Causes = append(out.Causes, *c)
+	}
+	slices.SortFunc(out.Causes, func(a, b loss) int {
+		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Cause, b.Cause))
+	})
+	return out
+}
+
+func note(byCause map[string]*loss, why string, l logLine, second int64) {
+	c, known := byCause[why]
+	if !known {
+		c = &loss{Cause: why, Routes: map[string]int{}, Seconds: map[int64]int{}}
+		byCause[why] = c
+	}
+	c.Requests++
+	if l.Fields["event"] == "request_answered" {
+		c.Answered++
+	}
+	c.Waited += waited(l).Seconds()
+	c.Routes[l.Fields["route"]]++
+	c.Seconds[second]++
+}
+
+// waited returns how long a request waited for an endpoint; logs tell milliseconds.
+func waited(l logLine) time.Duration {
+	d, err := time.ParseDuration(l.Fields["waited"] + "ms")
+	if err != nil {
+		return 0 // the line tells of no wait
+	}
+	return d
+}
+
+// lossCause reports whether a line tells how a request ended, and what held it up or
+// ended it; "" if it was answered at once.
+func lossCause(l logLine, leaderless bool) (ended bool, why string) {
+	reason := whyText(l.Fields["reason"])
+	if leaderless && l.Fields["reason"] == "not_loaded" {
+		reason += ", and its entry knew no leader"
+	}
+	switch event := l.Fields["event"]; event {
+	case "request_answered":
+		if waited(l) == 0 {
+			return true, ""
+		}
+		return true, reason
+	case "request_not_run":
+		return true, reason
+	case "request_caller_gone":
+		if waited(l) == 0 {
+			return true, "the caller left while an endpoint was at work"
+		}
+		return true, reason
+	case "request_no_deployment":
+		return true, "its entry knew no deployment yet"
+	case "request_failed_by_endpoint":
+		return true, "the endpoint answered with a failure"
+	case "request_cut", "request_unknown":
+		return true, "the endpoint broke off or did not answer in time"
+	case "request_stopping", "request_no_route", "request_bad_field":
+		return true, strings.ReplaceAll(strings.TrimPrefix(event, "request_"), "_", " ")
+	}
+	return false, ""
+}
+
+// worst returns the second with the most requests.
+func worst(seconds map[int64]int) (second int64, most int) {
+	for _, s := range slices.Sorted(maps.Keys(seconds)) {
+		if seconds[s] > most {
+			second, most = s, seconds[s]
+		}
+	}
+	return second, most
+}
+
+// byCount lists routes, the most frequent first.
+func byCount(routes map[string]int) string {
+	names := slices.SortedFunc(maps.Keys(routes), func(a, b string) int { return cmp.Or(cmp.Compare(routes[b], routes[a]), cmp.Compare(a, b)) })
+	var out []string
+	for _, n := range names {
+		out = append(out, fmt.Sprintf("%s %d", n, routes[n]))
+	}
+	return strings.Join(out, ", ")
+}
