Endpoints that stay silent until their callers leave count as failing

Cause: an end by the caller told nothing about the endpoint, however long it was silent. Change: silence for 1 s, or twice the route's objective, counts as a failure. Test: TestEndpointThatStaysSilentCountsAsFailing fails before; a caller in a hurry still tells nothing.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -47,10 +47,15 @@
 	x.logSent(e, cc)
 	h := x.r.Header.Clone()
 	x.g.cfg.Dialect.Write(h, Sending{Left: time.Until(x.until), Endpoint: e.Name(), Priority: x.route.Priority, LastEvent: x.lastEvent})
+	sent := time.Now()
 	cc.Send(x.r.Method, x.r.Target, x.r.Host, h, x.r.Body)
 	resp, v, err := x.receive(cc, e)
 	if err != nil {
 		cc.Close()
+		if ctx.Err() != nil && time.Since(sent) >= silence(x.route) {
+			x.g.cfg.Log.Info().Str("request", x.ask.ID).Str("endpoint", string(e.ID)).Dur("silent", time.Since(sent)).Msg("endpoint_silent")
+			return result{outcome: failed}
+		}
 		return x.broken(ctx, e, err, "no_answer")
 	}
 	x.g.dir.measured(e, v)
@@ -110,6 +115,23 @@
 	return result{notRun: true, outcome: full}
 }
 
+const (
+	// leastSilence is how long an endpoint that was sent a request must be silent at
+	// least to count as failing when its caller leaves: first answers take 0.03 to 0.25 s,
+	// and one in a hundred some 1 s, behind a crowded engine's own queue.
+	leastSilence = time.Second
+	// silenceObjectives is that in objectives of the route.
+	silenceObjectives = 2
+)
+
+// silence returns how long an endpoint may take to begin its answer before that counts
+// against it, though the caller ended the request. Symptom without it: endpoints that
+// take requests and answer nothing are chosen like any other for as long as callers
+// leave before the time limit, since an end by the caller tells nothing.
+func silence(r *deploy.Route) time.Duration {
+	return max(leastSilence, silenceObjectives*r.Objective)
+}
+
 // broken is the result of an attempt without a whole answer.
 func (x *exchange) broken(ctx context.Context, e *endpoint, err error, event string) result {
 	if ctx.Err() != nil {
