--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -54,7 +54,7 @@
 	table    atomic.Pointer[deploy.Table]
 	begun    time.Time
 	first    chan struct{} // closed when the first deployment is in force
-	entries  atomic.Int64 // entries that share the retry budget; 0 if not known
+	entries  atomic.Int64  // entries that share the retry budget; 0 if not known
 	draining atomic.Bool
 	stopAt   atomic.Pointer[stopping]
 	pace     pace
