--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -65,7 +65,7 @@
 	w.Settled, p.settled = p.settled, nil
 	w.Started, p.started = p.started, nil
 	for _, e := range p.engines {
-		e.barred = e.expected(now)
+		e.inherited = e.stillLate(now)
 	}
 	p.relieve(now, &w)
 	for _, want := range p.urgent(now) {
--- a/internal/core/fleet/start.go
+++ b/internal/core/fleet/start.go
@@ -72,10 +72,10 @@
 // kept free there.
 func (p *Planner) succeed(now time.Time, old *engine, ep Endpoint) {
 	n := newEngine(ep, now)
-	n.barred = append(n.barred, old.barred...)
-	n.barred = append(n.barred, old.late...)
+	n.inherited = append(n.inherited, old.inherited...)
+	n.inherited = append(n.inherited, old.late...)
 	if o := old.order; o != nil && !o.accepted {
-		n.barred = append(n.barred, late{o.Order, now})
+		n.inherited = append(n.inherited, late{o.Order, now})
 	}
 	p.drop(old)
 	p.engines[ep.ID] = n
@@ -88,17 +88,17 @@
 	Before   EndpointID
 }
 
-// expected returns the late loads of earlier starts that may still be accepted.
-func (e *engine) expected(now time.Time) []late {
-	kept := e.barred[:0]
-	for _, l := range e.barred {
+// stillLate returns the late loads of earlier starts that may still be accepted.
+func (e *engine) stillLate(now time.Time) []late {
+	kept := e.inherited[:0]
+	for _, l := range e.inherited {
 		// The number of a late order says which order's place it can take; once that
 		// is taken it cannot be accepted any more.
 		if now.Sub(l.given) < lateOrders && l.Expected >= e.sequence && l.Op == Load {
 			kept = append(kept, l)
 		}
 	}
-	e.barred = kept
+	e.inherited = kept
 	return kept
 }
 
--- a/internal/core/fleet/start_test.go
+++ b/internal/core/fleet/start_test.go
@@ -27,7 +27,7 @@
 	for seed := range uint64(80) {
 		c := restarts(seed, func(s *simulation) {
 			for _, e := range s.p.engines {
-				e.barred, e.late = nil, nil
+				e.inherited, e.late = nil, nil
 			}
 		})
 		if c != "" {
