Control tells why leadership moves: silence, cause, waits of messages, turns of the loop

Cause: the record of an incident could not tell apart heartbeats that wait behind a large entry, a leader that stands still and followers that stand still. Change: campaign_begun, leader_deposed, leader_known, control_loop_slow, messages_waited; two summaries. No logic changes.

--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -111,8 +111,8 @@
 		return err
 	}
 	c.hub = newHub(c.copyAll)
-	c.peers = newPeers(c.id, c.cfg.Security, c.count, c.contacts.addrOf)
 	c.met = newMetrics(c.cfg.Metrics, c.count, c.Status, c.hub.subscribers)
+	c.peers = newPeers(c.id, c.cfg.Security, c.count, c.cfg.Log, c.met.waitSeconds, c.contacts.addrOf)
 	c.srv, err = rpc.Listen(c.cfg.Listen, c.cfg.Security, c.count, c.handle, c.hub.unsubscribe, c.authFailed)
 	if err != nil {
 		return err
@@ -129,6 +129,7 @@
 	c.loop = &loop{
 		id: c.id, addr: c.Addr(), metAt: c.contacts.addrOf, log: c.cfg.Log, st: st, disk: disk, send: c.sendAndFollow, hub: c.hub, met: c.met, fatal: c.cfg.Fatal, group: c.cfg.Group, begun: time.Now(),
 		duties: &duties{log: c.cfg.Log, cfg: c.cfg.Placement, leases: c.cfg.Leases},
+		watch:  watch{log: c.cfg.Log, met: c.met},
 		tasks:  make(chan func(), taskQueue), stopped: make(chan struct{}), done: make(chan struct{}),
 		waiters: map[uint64]waiter{}, reads: map[uint64]chan<- uint64{},
 		// Read contexts are unique over restarts, so that an answer to an
--- a/internal/app/control/handlers.go
+++ b/internal/app/control/handlers.go
@@ -59,10 +59,12 @@
 		return err
 	}
 	c.loop.post(func() {
+		now := time.Now()
 		for _, m := range msgs {
 			if c.loop.roster != nil {
-				c.loop.roster.Heard(time.Now(), m.From)
+				c.loop.roster.Heard(now, m.From)
 			}
+			c.loop.watch.message(now, m)
 			c.loop.node.Step(m)
 		}
 	})
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -55,6 +55,7 @@
 	hub    *hub
 	duties *duties
 	met    *metrics
+	watch  watch
 	fatal  func(error)
 	group  ident.Group
 	begun  time.Time // of this process, with its steady clock
@@ -114,11 +115,14 @@
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
+		var begun time.Time
 		select {
 		case f := <-l.tasks:
+			begun = time.Now()
 			f()
 			l.gather()
 		case <-tick.C:
+			begun = time.Now()
 			l.node.Tick()
 			l.duties.tick(time.Now(), l)
 			l.tickRoster(time.Now())
@@ -129,6 +133,7 @@
 		if !l.drain() {
 			return
 		}
+		l.watch.turn(begun, time.Now(), l.node)
 	}
 }
 
--- a/internal/app/control/metrics.go
+++ b/internal/app/control/metrics.go
@@ -15,6 +15,8 @@
 	applied     *vm.Counter
 	syncSeconds *vm.Summary
 	planSeconds *vm.Summary
+	turnSeconds *vm.Summary // of the loop
+	waitSeconds *vm.Summary // of messages to other control hosts, until they are written
 }
 
 func newMetrics(s *vm.Set, count *rpc.Counter, status func() consensus.Status, subscribers func() int) *metrics {
@@ -27,6 +29,8 @@
 		applied:     s.NewCounter("cassiapass_control_commands_applied_total"),
 		syncSeconds: s.NewSummary("cassiapass_control_log_sync_seconds"),
 		planSeconds: s.NewSummary("cassiapass_control_plan_seconds"),
+		turnSeconds: s.NewSummary("cassiapass_control_loop_turn_seconds"),
+		waitSeconds: s.NewSummary("cassiapass_control_message_wait_seconds"),
 	}
 	s.NewGauge("cassiapass_control_subscribers", func() float64 { return float64(subscribers()) })
 	s.NewGauge("cassiapass_control_is_leader", func() float64 {
--- a/internal/app/control/peers.go
+++ b/internal/app/control/peers.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
 	"github.com/cassiapass/cassiapass/internal/wire"
@@ -25,6 +28,8 @@
 	sec   rpc.Security
 	count *rpc.Counter
 	self  consensus.NodeID
+	log   zerolog.Logger
+	waits *vm.Summary // seconds that messages wait until they are written
 	// met returns where an identity was met, which goes before what the log says.
 	// Symptom without it: hosts whose addresses changed while all were dark never elect
 	// a leader; only one could have noted the new addresses in the log.
@@ -38,15 +43,21 @@
 // peer is one other control host.
 type peer struct {
 	addr  string
-	queue chan consensus.Message
+	queue chan queued
 	stop  chan struct{}
 
 	mu   sync.Mutex
 	conn *rpc.Conn
 }
 
-func newPeers(self consensus.NodeID, sec rpc.Security, count *rpc.Counter, met func(consensus.NodeID) (string, bool)) *peers {
-	return &peers{sec: sec, count: count, self: self, met: met, peers: map[consensus.NodeID]*peer{}}
+// queued is a message with when it was queued.
+type queued struct {
+	msg consensus.Message
+	at  time.Time
+}
+
+func newPeers(self consensus.NodeID, sec rpc.Security, count *rpc.Counter, log zerolog.Logger, waits *vm.Summary, met func(consensus.NodeID) (string, bool)) *peers {
+	return &peers{sec: sec, count: count, self: self, log: log, waits: waits, met: met, peers: map[consensus.NodeID]*peer{}}
 }
 
 // learn takes in members that the leader told. Symptom without it: a host that
@@ -81,7 +92,7 @@
 		if _, ok := p.peers[mem.ID]; ok || mem.ID == p.self {
 			continue
 		}
-		pr := &peer{addr: p.addr(mem), queue: make(chan consensus.Message, peerQueue), stop: make(chan struct{})}
+		pr := &peer{addr: p.addr(mem), queue: make(chan queued, peerQueue), stop: make(chan struct{})}
 		p.peers[mem.ID] = pr
 		go p.pump(pr)
 	}
@@ -99,13 +110,14 @@
 func (p *peers) send(msgs []consensus.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	for _, m := range msgs {
 		pr, ok := p.peers[m.To]
 		if !ok {
 			continue
 		}
 		select {
-		case pr.queue <- m:
+		case pr.queue <- queued{m, now}:
 		default:
 		}
 	}
@@ -124,8 +136,8 @@
 		select {
 		case <-pr.stop:
 			return
-		case m := <-pr.queue:
-			batch := pr.gather(m)
+		case first := <-pr.queue:
+			batch := pr.gather(first.msg)
 			conn, err := p.connect(pr)
 			if err != nil {
 				pr.pause()
@@ -134,8 +146,25 @@
 			if err := conn.Notify(wire.MethodRaft, batch); err != nil {
 				pr.drop()
 			}
+			p.noteWait(pr, first, batch)
+		}
+	}
+}
+
+// noteWait measures how long the first message of a batch waited until it was written.
+func (p *peers) noteWait(pr *peer, first queued, batch []consensus.Message) {
+	waited := time.Since(first.at)
+	p.waits.Update(waited.Seconds())
+	if waited <= slow {
+		return
+	}
+	entries := 0
+	for _, m := range batch {
+		for _, e := range m.Entries {
+			entries += len(e.Data)
 		}
 	}
+	p.log.Warn().Str("address", pr.addr).Dur("waited", waited).Int("messages", len(batch)).Int("entry_bytes", entries).Msg("messages_waited")
 }
 
 const peerBatch = 64
@@ -144,8 +173,8 @@
 	batch := []consensus.Message{first}
 	for len(batch) < peerBatch {
 		select {
-		case m := <-pr.queue:
-			batch = append(batch, m)
+		case q := <-pr.queue:
+			batch = append(batch, q.msg)
 		default:
 			return batch
 		}
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -117,6 +117,9 @@
 // Leader returns the leader known to this member, or None.
 func (n *Node) Leader() NodeID { return n.lead }
 
+// Role returns the part that this member plays in the present term.
+func (n *Node) Role() Role { return n.role }
+
 // IsLeader reports whether this member leads its term.
 func (n *Node) IsLeader() bool { return n.role == Leader }
 
