A member that hears its first leader draws its timeout anew; runs of the log repeat

Cause: heardLeader drew a timeout only at a change of role; a founder that voted and then heard the leader of that term kept the 150 to 300 ms of its start for good. Ruled out: a clock that runs fast there; silence is measured on the steady clock. Change: the first leader heard counts as joining it. TestMemberThatHeardItsFirstLeader... failed before (campaigns after 3 ticks of 10) and passes. The runs did not repeat, as leaders walked their members in the order of a map.

--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -246,12 +246,7 @@
 		}
 	}
 	n.heartbeat++
-	for id, p := range n.progress {
-		if id == n.id {
-			continue
-		}
-		n.tickPeer(id, p)
-	}
+	n.eachPeer(n.tickPeer)
 }
 
 func (n *Node) tickPeer(id NodeID, p *progress) {
@@ -312,11 +307,7 @@
 	if n.role != Leader {
 		return
 	}
-	for id, p := range n.progress {
-		if id != n.id {
-			n.sendAppend(id, p)
-		}
-	}
+	n.eachPeer(n.sendAppend)
 }
 
 // ProposeMembership appends a membership change: the addition or promotion of
--- a/internal/core/consensus/progress.go
+++ b/internal/core/consensus/progress.go
@@ -56,6 +56,16 @@
 	p.probing = true
 }
 
+// eachPeer calls f for every other member that this leader follows, in the order of the
+// membership: in the order of a map no seeded run could be played again.
+func (n *Node) eachPeer(f func(NodeID, *progress)) {
+	for _, m := range n.membership.Members {
+		if p, ok := n.progress[m.ID]; ok && m.ID != n.id {
+			f(m.ID, p)
+		}
+	}
+}
+
 // quorumMatch returns the highest index that a majority of voters holds.
 func (n *Node) quorumMatch() uint64 {
 	var matches []uint64
--- a/internal/core/consensus/readindex.go
+++ b/internal/core/consensus/readindex.go
@@ -40,11 +40,11 @@
 	n.round++
 	r := pendingRead{context: context, from: from, round: n.round, acks: map[NodeID]bool{n.id: true}}
 	n.reads = append(n.reads, r)
-	for id, p := range n.progress {
-		if id != n.id && p.voter {
+	n.eachPeer(func(id NodeID, p *progress) {
+		if p.voter {
 			n.sendHeartbeat(id, p, n.round)
 		}
-	}
+	})
 	n.releaseReads()
 }
 
--- a/internal/core/consensus/step.go
+++ b/internal/core/consensus/step.go
@@ -76,10 +76,13 @@
 
 func (n *Node) heardLeader(m Message) {
 	invariant(n.role != Leader, "two leaders in one term", n.term, uint64(m.From))
-	if n.role != Follower {
+	// A member that hears its first leader draws its timeout anew also where neither its
+	// role nor its term changes: it voted for that leader. Symptom otherwise: it keeps the
+	// short timeout of a start for good and campaigns after 0.13 s without a heartbeat.
+	if n.role != Follower || !n.met {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.lead, n.met = m.From, true
+	n.lead = m.From
 	n.elapsed = 0
 }
 
@@ -204,14 +207,11 @@
 	n.releaseReads()
 	// Members learn the new commit index now rather than at the next
 	// heartbeat: configuration in force waits for it.
-	for id, p := range n.progress {
-		if id == n.id {
-			continue
-		}
+	n.eachPeer(func(id NodeID, p *progress) {
 		if p.next > n.log.lastIndex() {
 			n.sendEarly(Message{Type: MsgHeartbeat, To: id, Commit: min(p.match, q)})
-			continue
+			return
 		}
 		n.sendAppend(id, p)
-	}
+	})
 }
