--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -35,6 +35,9 @@
 	disks []*faultyDisk
 	// volatile tells which hosts have no disk.
 	volatile map[int]bool
+	// listen is where the hosts listen, if that is not where they are reached.
+	listen []string
+	roster roster.Config
 }
 
 // freeAddrs returns addresses that nothing listens on.
@@ -56,7 +59,18 @@
 // Those in volatile have no disk.
 func newSite(t testing.TB, n int, volatile ...int) *site {
 	t.Helper()
-	s := &site{t: t, addrs: freeAddrs(t, n), hosts: make([]*Control, n), volatile: map[int]bool{}}
+	s := unstartedSite(t, n, volatile...)
+	s.startAll()
+	return s
+}
+
+// unstartedSite is newSite's site before any host runs.
+func unstartedSite(t testing.TB, n int, volatile ...int) *site {
+	t.Helper()
+	s := &site{
+		t: t, addrs: freeAddrs(t, n), hosts: make([]*Control, n), volatile: map[int]bool{},
+		roster: roster.Config{Voters: 3, ReplaceAfter: time.Second, ForgetAfter: 3 * time.Second},
+	}
 	for _, i := range volatile {
 		s.volatile[i] = true
 	}
@@ -65,15 +79,20 @@
 		s.dirs = append(s.dirs, t.TempDir())
 		s.disks = append(s.disks, &faultyDisk{})
 	}
-	for i := range n {
+	return s
+}
+
+// startAll starts a new group and ends it with the test.
+func (s *site) startAll() {
+	s.t.Helper()
+	for i := range s.hosts {
 		s.start(i, true)
 	}
-	t.Cleanup(func() {
+	s.t.Cleanup(func() {
 		for i := range s.hosts {
 			s.kill(i)
 		}
 	})
-	return s
 }
 
 func (s *site) start(i int, form bool) {
@@ -82,9 +101,13 @@
 	if s.volatile[i] {
 		dir = "" // nothing may be written
 	}
+	listen := s.addrs[i]
+	if s.listen != nil {
+		listen = s.listen[i]
+	}
 	c, err := New(Config{
-		Host: "h", Group: "main", Listen: s.addrs[i], Advertise: s.addrs[i], DataDir: dir,
-		Seeds:     Seeds{Addrs: s.seeds, Form: form, Volatile: s.volatile[i], Roster: roster.Config{Voters: 3, ReplaceAfter: time.Second, ForgetAfter: 3 * time.Second}},
+		Host: "h", Group: "main", Listen: listen, Advertise: s.addrs[i], DataDir: dir,
+		Seeds:     Seeds{Addrs: s.seeds, Form: form, Volatile: s.volatile[i], Roster: s.roster},
 		Placement: placement.DefaultConfig(), Leases: member.DefaultConfig(), Log: zerolog.Nop(),
 		WrapDisk: s.disks[i].wrap,
 		Fatal: func(err error) {
@@ -137,14 +160,14 @@
 }
 
 // settled reports whether some host leads a group of n members, all of them
-// present and up to date, with three voters.
+// present and up to date, with as many voters as the group should have.
 func (s *site) settled(n int) bool {
 	for _, c := range s.hosts {
 		if c == nil {
 			continue
 		}
 		st := c.Status()
-		if st.Role != consensus.Leader || len(st.Membership.Members) != n || st.Membership.Voters() != min(n, 3) {
+		if st.Role != consensus.Leader || len(st.Membership.Members) != n || st.Membership.Voters() != min(n, s.roster.Voters) {
 			continue
 		}
 		for _, m := range st.Membership.Members {
--- a/internal/fake/relay.go
+++ b/internal/fake/relay.go
@@ -17,6 +17,7 @@
 	deaf  atomic.Bool  // nothing passes, old or new, both ways
 	mute  atomic.Bool  // nothing passes back from the target
 	delay atomic.Int64 // nanoseconds added to every piece
+	link  atomic.Pointer[Link]
 	mu    sync.Mutex
 	pairs map[*pair]struct{}
 }
@@ -27,6 +28,39 @@
 	silent atomic.Bool
 }
 
+const (
+	piece = 32 << 10 // bytes passed on at a time
+	// linkPiece is that on a Link: a connection waits for at most one such piece of
+	// each other one before it has its turn.
+	linkPiece = 16 << 10
+	// linkWindow bounds what each socket before or behind a Link buffers in the kernel.
+	linkWindow = 64 << 10
+)
+
+// Link is a line of limited rate. The connections of all relays that share it have
+// turns in the order in which their pieces arrive.
+type Link struct {
+	rate float64 // bytes per second
+	mu   sync.Mutex
+	free time.Time // when all that is booked has passed
+}
+
+// NewLink returns a Link that nothing waits for.
+func NewLink(bytesPerSecond float64) *Link { return &Link{rate: bytesPerSecond} }
+
+// pass books n bytes behind all that is booked already and returns when they have
+// passed.
+func (l *Link) pass(n int) {
+	l.mu.Lock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+	end := l.free
+	l.mu.Unlock()
+	time.Sleep(time.Until(end))
+}
+
 // NewRelay starts a Relay to target on a free loopback port.
 func NewRelay(target string) (*Relay, error) { return NewRelayAt("127.0.0.1:0", target) }
 
@@ -81,6 +115,10 @@
 // SetDelay delays every piece.
 func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
 
+// SetLink makes connections that are opened from now on share a Link, both ways;
+// nil is no limit.
+func (r *Relay) SetLink(l *Link) { r.link.Store(l) }
+
 // SilenceOpen makes the open connections silent for good; new ones work.
 func (r *Relay) SilenceOpen() {
 	r.mu.Lock()
@@ -136,12 +174,17 @@
 		return
 	}
 	p.b = b
+	link := r.link.Load()
+	if link != nil {
+		narrow(a)
+		narrow(b)
+	}
 	r.mu.Lock()
 	r.pairs[p] = struct{}{}
 	r.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go r.copy(p, a, b, func() bool { return false }, done)
-	go r.copy(p, b, a, r.mute.Load, done)
+	go r.copy(p, link, a, b, func() bool { return false }, done)
+	go r.copy(p, link, b, a, r.mute.Load, done)
 	<-done
 	if p.silent.Load() {
 		// The other end is not told either: it waits in silence.
@@ -153,12 +196,27 @@
 	r.mu.Unlock()
 }
 
+// narrow bounds what a socket buffers. With the kernel's own bounds most of a large
+// message would leave its sender at once, and the Link would delay nobody.
+func narrow(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetReadBuffer(linkWindow)
+		_ = t.SetWriteBuffer(linkWindow)
+	}
+}
+
 // copy passes bytes on until one side ends; cut tells whether this way is cut now.
-func (r *Relay) copy(p *pair, from, to net.Conn, cut func() bool, done chan<- struct{}) {
+func (r *Relay) copy(p *pair, link *Link, from, to net.Conn, cut func() bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
-	buf := make([]byte, 32<<10)
+	buf := make([]byte, piece)
+	if link != nil {
+		buf = buf[:linkPiece]
+	}
 	for {
 		n, err := from.Read(buf)
+		if n > 0 && link != nil {
+			link.pass(n)
+		}
 		if d := r.delay.Load(); d > 0 {
 			time.Sleep(time.Duration(d))
 		}
