A new holder waits out the lease also where engines check fencing numbers

Cause: the wait of core/holder was switched off where engines check fencing numbers. Those keep an old leader's late order out; successive leaders bear rising numbers, so hosts that are all in touch could order an engine in turn, and did. Ruled out: a new leader that reads the newest note too early (it begins its duties when it has applied an entry of its own term).

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -63,8 +63,8 @@
 	Decode func(text string) (*deploy.Config, error)
 	Plan   fleet.Config
 	// Host is this host. Lease is the time within which holders of the engines must not
-	// take turns, where engines do not refuse old fencing numbers; 0 where they do. See
-	// package holder.
+	// take turns, whether or not engines check fencing numbers; 0 if the deployment names
+	// none. See package holder.
 	Host  ident.HostID
 	Lease time.Duration
 	// TellRate is how many bytes a second entries may be told together; 0 for what
--- a/internal/app/controller/hold_test.go
+++ b/internal/app/controller/hold_test.go
@@ -10,8 +10,8 @@
 	"github.com/cassiapass/cassiapass/internal/core/holder"
 )
 
-// firstOrder returns how long a leader takes until its first order, before engines that
-// check no fencing numbers and with a lease of 700 ms.
+// firstOrder returns how long a leader takes until its first order, with a lease of
+// 700 ms.
 func firstOrder(t *testing.T, lead *testLead) time.Duration {
 	t.Helper()
 	fl := &testFleet{answer: fleet.Accepted}
@@ -22,7 +22,7 @@
 }
 
 // Symptom: nothing is loaded for 3 s after each change of leader.
-// Sequence: a leader that has led for long dies; engines check no fencing numbers.
+// Sequence: a leader that has led for long dies.
 // Cause: the next one waited for a lease whoever had held the engines before.
 func TestLeaderAfterASettledHolderOrdersAtOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/holder/holder.go
+++ b/internal/core/holder/holder.go
@@ -1,12 +1,16 @@
-// Package holder decides when a new leader may give engines its first order, where
-// engines do not check fencing numbers.
+// Package holder decides when a new leader may give engines its first order.
 //
-// Such an engine takes orders from whoever sends them. One handover from a leader to
-// the next is safe: each order is confirmed with a quorum just before it leaves and
-// names the sequence number that the engine had, so that of two orders one is refused.
-// What must not happen is that leaders take turns: an engine would be ordered by one
-// host, by another and by the first again, within the time of one lease, and each would
-// undo what the other has begun.
+// One handover from a leader to the next is safe: each order is confirmed with a quorum
+// just before it leaves and names the sequence number that the engine had, so that of
+// two orders one is refused. What must not happen is that leaders take turns: an engine
+// would be ordered by one host, by another and by the first again, within the time of
+// one lease, and each would undo what the other has begun.
+//
+// Fencing numbers do not prevent that. An engine that checks them refuses the late order
+// of a leader that was replaced; leaders that replace each other bear rising numbers, and
+// all of their orders are accepted. Nor can it be left to leaders that seldom change:
+// what makes them change often is what this must withstand. So the rule holds whether
+// or not engines check numbers.
 //
 // So every leader notes in the replicated log that it holds the engines, before its
 // first order, and that it has held them for a lease, once it has. A new leader that
--- a/internal/core/holder/holder_test.go
+++ b/internal/core/holder/holder_test.go
@@ -54,7 +54,7 @@
 	return false
 }
 
-// Symptom: an engine that checks no fencing numbers is ordered by one host, by another
+// Symptom: an engine is ordered by one host, by another
 // and by the first again within a moment.
 // Sequence: leaders change several times in a few seconds.
 func TestHoldersNeverTakeTurnsWithinALease(t *testing.T) {
