A deployment that is under way or decided is not appended again

Cause: operators repeat a change each second at another host; each repeat became one more entry of a leader that still sent the first. Eight at once: eight entries, 8 MB for each of seven members. Change: who repeats waits for the entry that is under way; what is decided is answered.

--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -83,9 +83,18 @@
 	rosterChecked time.Time
 }
 
+// waiter is who waits for the entry at one index.
 type waiter struct {
 	term uint64
-	ch   chan<- proposalResult
+	chs  []chan<- proposalResult
+	// deploy is the deployment that is proposed there, nil for other commands.
+	deploy *state.Deploy
+}
+
+func (w waiter) answer(r proposalResult) {
+	for _, ch := range w.chs {
+		ch <- r
+	}
 }
 
 type proposalResult struct {
@@ -216,7 +225,7 @@
 	for i, w := range l.waiters {
 		if i <= s.Index {
 			delete(l.waiters, i)
-			w.ch <- proposalResult{err: ErrLost}
+			w.answer(proposalResult{err: ErrLost})
 		}
 	}
 	l.hub.reset(ident.Index(s.Index))
@@ -298,10 +307,10 @@
 	delete(l.waiters, e.Index)
 	if w.term != e.Term {
 		// Another leader's entry took the place of the proposed one.
-		w.ch <- proposalResult{err: ErrLost}
+		w.answer(proposalResult{err: ErrLost})
 		return
 	}
-	w.ch <- proposalResult{res: res}
+	w.answer(proposalResult{res: res})
 }
 
 // snapshot encodes a copy of the state in the background and then compacts.
@@ -354,6 +363,9 @@
 
 // propose appends a command if this host leads.
 func (l *loop) propose(c state.Command, ch chan<- proposalResult) {
+	if c.Deploy != nil && l.sentBefore(*c.Deploy, ch) {
+		return
+	}
 	c.Time = l.now()
 	data, err := json.Marshal(c)
 	if err != nil {
@@ -365,7 +377,28 @@
 		ch <- proposalResult{err: err}
 		return
 	}
-	l.waiters[index] = waiter{term: l.node.Term(), ch: ch}
+	l.waiters[index] = waiter{term: l.node.Term(), chs: []chan<- proposalResult{ch}, deploy: c.Deploy}
+}
+
+// sentBefore answers a deployment that was decided already and lets ch wait for one that
+// is under way; it returns false for a new one.
+// Operators repeat a change each second at another host until it is acknowledged. Symptom
+// without this: each repeat of a large one is one more copy in the log of a leader that
+// is still sending the first.
+func (l *loop) sentBefore(d state.Deploy, ch chan<- proposalResult) bool {
+	// What was decided stays so: the answer is right even on a host that leads no more.
+	if res, known := l.st.Deployed(d); known {
+		ch <- proposalResult{res: res}
+		return true
+	}
+	for index, w := range l.waiters {
+		if w.deploy != nil && *w.deploy == d && w.term == l.node.Term() && l.node.IsLeader() {
+			w.chs = append(w.chs, ch)
+			l.waiters[index] = w
+			return true
+		}
+	}
+	return false
 }
 
 // proposeQuietly appends a command whose result only the planner looks at.
