Long texts of deployments are packed in the log; tests of large messages that take long

Cause: a text of 0.75 MB was 1 MB on the wire to each of seven members, and 1 MB of each log on disk.

--- a/internal/adapter/rpc/rpc_test.go
+++ b/internal/adapter/rpc/rpc_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -78,3 +79,69 @@
 	is.NoErr(c.Call(ctx, "echo", 7, &got)) // the server goes on
 	is.Equal(got, 7)
 }
+
+// slowly reads from one connection as fast as a slow link would pass it on, until stop.
+func slowly(t *testing.T, stop <-chan struct{}, each int, pause time.Duration) (addr string, read <-chan int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	total := make(chan int, 1)
+	go func() {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		_ = nc.(*net.TCPConn).SetReadBuffer(64 << 10)
+		n, buf := 0, make([]byte, each)
+		for {
+			select {
+			case <-stop:
+				total <- n
+				return
+			case <-time.After(pause):
+			}
+			k, _ := nc.Read(buf)
+			n += k
+		}
+	}()
+	return l.Addr().String(), total
+}
+
+// Symptom: a host that joins over a slow link never gets its snapshot; its connection is
+// closed every 2 s and all is sent anew.
+// Sequence: a message takes longer than the write timeout though its reader reads.
+// Cause: the timeout bounded the whole message, not the silence of the reader.
+func TestLargeMessageMayTakeLongerThanTheWriteTimeout(t *testing.T) {
+	is := is.New(t)
+	stop := make(chan struct{})
+	addr, read := slowly(t, stop, 256<<10, 20*time.Millisecond)
+	c, err := Dial(context.Background(), addr, Security{}, &Counter{}, echo(nil))
+	is.NoErr(err)
+	defer c.Close()
+	const size = 40 << 20 // some 3 s at 12 MB/s
+	begun := time.Now()
+	is.NoErr(c.Notify("note", strings.Repeat("x", size)))
+	is.True(time.Since(begun) > writeTimeout) // else this shows nothing
+	is.True(c.Sending(begun))
+	close(stop)
+	is.True(<-read > size/2)
+}
+
+// A reader that reads nothing is still found out, within the write timeout.
+func TestReaderThatStandsStillEndsALargeMessage(t *testing.T) {
+	is := is.New(t)
+	stop := make(chan struct{})
+	defer close(stop)
+	addr, _ := slowly(t, stop, 1, time.Hour)
+	c, err := Dial(context.Background(), addr, Security{}, &Counter{}, echo(nil))
+	is.NoErr(err)
+	defer c.Close()
+	begun := time.Now()
+	is.True(c.Notify("note", strings.Repeat("x", 40<<20)) != nil)
+	is.True(time.Since(begun) < 2*writeTimeout)
+	is.True(!c.Sending(time.Now().Add(-writeTimeout / 2)))
+}
--- a/internal/core/state/deployment_test.go
+++ b/internal/core/state/deployment_test.go
@@ -1,6 +1,9 @@
 package state
 
 import (
+	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -47,3 +50,33 @@
 	is.NoErr(err)
 	is.Equal(back.Deployment(), s.Deployment())
 }
+
+// Symptom: a change of 0.75 MB takes 5.5 MB of the leader's link, half a second's worth.
+// Cause: its text, which repeats itself, was written to the log as it is.
+func TestLongTextsArePackedInTheLog(t *testing.T) {
+	is := is.New(t)
+	var routes strings.Builder
+	for i := range 4200 {
+		fmt.Fprintf(&routes, `{"name":"r%04d-%x","host":"%x.example","pathPrefix":"/%x/","timeoutMs":4000,"attempts":2},`, i, i*i*7919, i*104729, i*i*31)
+	}
+	for _, text := range []string{"", "short", "short and \"quoted\"\n", routes.String()} {
+		data, err := json.Marshal(Command{Deploy: &Deploy{7, text}})
+		is.NoErr(err)
+		var back Command
+		is.NoErr(json.Unmarshal(data, &back))
+		is.Equal(*back.Deploy, Deploy{7, text})
+		if len(text) > packFrom {
+			is.True(len(data) < len(text)/3) // with what its writing as JSON adds
+		}
+	}
+}
+
+// Symptom: a host with a log of an earlier release has no deployment, or does not start.
+func TestTextsThatWereNotPackedAreRead(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("x", 2*packFrom)
+	var c Command
+	is.NoErr(json.Unmarshal([]byte(`{"deploy":{"version":3,"text":"`+long+`"}}`), &c))
+	is.Equal(*c.Deploy, Deploy{3, long})
+	is.True(json.Unmarshal([]byte(`{"deploy":{"version":3,"packed":"AAAA"}}`), &c) != nil) // damaged: an error, not an empty text
+}
