A holder has settled only when no order of the one before it can still be on its way

The next holder settled a lease after its own note; if the first led again then, it ordered at once: first, second, first within less than a lease. A hand-over needs no silence, so it may be quick. Change: a holder settles after a lease and the order timeout. Ruled out: the wait of an unsettled holder's successor lacks no margin, as it begins to count after every order of the holder before the last.

--- a/internal/app/controller/hold.go
+++ b/internal/app/controller/hold.go
@@ -43,7 +43,7 @@
 	switch {
 	case h.settled || h.noting || now.Sub(h.tried) < noteAgain:
 		return
-	case !h.noted && now.Before(h.from), h.noted && now.Sub(h.since) < c.cfg.Lease:
+	case !h.noted && now.Before(h.from), h.noted && !holder.Settled(now.Sub(h.since), c.cfg.Lease, orderTimeout):
 		return
 	}
 	h.noting, h.tried = true, now
--- a/internal/core/holder/holder.go
+++ b/internal/core/holder/holder.go
@@ -13,7 +13,8 @@
 // or not engines check numbers.
 //
 // So every leader notes in the replicated log that it holds the engines, before its
-// first order, and that it has held them for a lease, once it has. A new leader that
+// first order, and that it has settled, once it has held them for a lease and as long as
+// an order of the holder before it may have been on its way. A new leader that
 // finds the second note of the holder before it orders at once: any holder before that
 // gave its last order a lease ago. Otherwise it waits for a lease. No clock is compared
 // with another host's, and the notes survive a kill of all.
@@ -34,7 +35,7 @@
 type Record struct {
 	Term uint64       `json:"term"`
 	Host ident.HostID `json:"host"`
-	// Settled tells that the host held them for a whole lease in this term.
+	// Settled tells that the host held them for long enough in this term: see Settled.
 	Settled bool `json:"settled,omitempty"`
 }
 
@@ -47,6 +48,13 @@
 	return note
 }
 
+// Settled reports whether a host that noted that it holds the engines so long ago has
+// settled. late is how long an order may be on its way after a quorum confirmed that its
+// sender leads: the last order of the holder before counts from then. Symptom without it:
+// that order arrives late, before any of this holder's; this holder settles a lease after
+// its own note; the one before it leads again, orders at once, and has taken turns.
+func Settled(held, lease, late time.Duration) bool { return held >= lease+late }
+
 // Wait returns how long a host that begins to lead waits before its first order, by the
 // newest record of earlier terms.
 func Wait(last Record, self ident.HostID, lease time.Duration) time.Duration {
