Large messages: bounded send buffer, one dial a lane, bytes under way counted off

Change: 128 kB of send buffer between own processes; one dial at a time; frames stop at 256 kB of entries; acknowledged bytes are counted off; ErrLost for who is replaced.

--- a/internal/adapter/rpc/frame.go
+++ b/internal/adapter/rpc/frame.go
@@ -26,6 +26,12 @@
 	// reads all the time; the connection would be closed and it would be sent anew,
 	// for ever.
 	pieceSize = 64 << 10
+	// sendBuffer bounds what the kernel holds of what was written and not delivered.
+	// With its own bound, 4 MB, a large message has left as far as its sender can tell
+	// while its reader takes seconds for it: a probe behind it counts as unanswered, and
+	// heartbeats of the other connection queue behind it on the link. Round trips of
+	// 10 ms still allow 12 MB/s.
+	sendBuffer = 128 << 10
 
 	// notifyMark is set in the length of a frame that holds a notification.
 	// Those carry the parts of answers, one per token: they are written and
@@ -56,6 +62,13 @@
 	In, Out atomic.Int64
 }
 
+// narrow bounds the send buffer of a connection. Where that fails the kernel's bound holds.
+func narrow(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetWriteBuffer(sendBuffer)
+	}
+}
+
 func newStream(c net.Conn, count *Counter) *stream {
 	return &stream{conn: c, r: bufio.NewReaderSize(c, bufferSize), w: bufio.NewWriterSize(c, bufferSize), count: count, begun: time.Now()}
 }
--- a/internal/adapter/rpc/rpc.go
+++ b/internal/adapter/rpc/rpc.go
@@ -146,6 +146,7 @@
 	if err != nil {
 		return nil, oops.With("addr", addr).Wrapf(err, "connect")
 	}
+	narrow(nc)
 	if sec.Client != nil {
 		nc = tls.Client(nc, sec.Client)
 	}
@@ -217,6 +218,7 @@
 }
 
 func (s *Server) serve(nc net.Conn) {
+	narrow(nc)
 	if s.sec.Server != nil {
 		nc = tls.Server(nc, s.sec.Server)
 	}
--- a/internal/app/control/handlers.go
+++ b/internal/app/control/handlers.go
@@ -227,7 +227,7 @@
 		ch <- proposalResult{err: err}
 		return
 	}
-	l.waiters[i] = waiter{term: l.node.Term(), chs: []chan<- proposalResult{ch}}
+	l.wait(i, ch, nil)
 }
 
 // ControlStatus describes this host for operators.
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -377,7 +377,16 @@
 		ch <- proposalResult{err: err}
 		return
 	}
-	l.waiters[index] = waiter{term: l.node.Term(), chs: []chan<- proposalResult{ch}, deploy: c.Deploy}
+	l.wait(index, ch, c.Deploy)
+}
+
+// wait lets ch wait for the entry at index, of this term. An entry of an earlier term
+// that it takes the place of is lost.
+func (l *loop) wait(index uint64, ch chan<- proposalResult, d *state.Deploy) {
+	if old, ok := l.waiters[index]; ok {
+		old.answer(proposalResult{err: ErrLost})
+	}
+	l.waiters[index] = waiter{term: l.node.Term(), chs: []chan<- proposalResult{ch}, deploy: d}
 }
 
 // sentBefore answers a deployment that was decided already and lets ch wait for one that
--- a/internal/app/control/peers.go
+++ b/internal/app/control/peers.go
@@ -75,6 +75,9 @@
 // way is what goes to a peer on one lane.
 type way struct {
 	queue chan queued
+	// dialling is held while a connection is opened: with two, entries could overtake
+	// each other, and one would never be closed.
+	dialling sync.Mutex
 
 	mu   sync.Mutex
 	conn *rpc.Conn
@@ -200,21 +203,34 @@
 	}
 	entries := 0
 	for _, m := range batch {
-		for _, e := range m.Entries {
-			entries += len(e.Data)
-		}
+		entries += entryBytes(m)
 	}
 	p.log.Warn().Str("address", pr.addr).Dur("waited", waited).Int("messages", len(batch)).Int("entry_bytes", entries).Msg("messages_waited")
 }
 
-const peerBatch = 64
+const (
+	peerBatch = 64 // messages in a frame
+	// peerBatchBytes is from how many bytes of entries on nothing is added to a frame.
+	// Its reader acknowledges none of it before it has all.
+	peerBatchBytes = 256 << 10
+)
+
+// entryBytes returns the size of the entries that a message carries.
+func entryBytes(m consensus.Message) int {
+	n := 0
+	for _, e := range m.Entries {
+		n += len(e.Data)
+	}
+	return n
+}
 
 func (w *way) gather(first consensus.Message) []consensus.Message {
-	batch := []consensus.Message{first}
-	for len(batch) < peerBatch {
+	batch, bytes := []consensus.Message{first}, entryBytes(first)
+	for len(batch) < peerBatch && bytes < peerBatchBytes {
 		select {
 		case q := <-w.queue:
 			batch = append(batch, q.msg)
+			bytes += entryBytes(q.msg)
 		default:
 			return batch
 		}
@@ -233,6 +249,8 @@
 // this connection by itself, so silence is found by probing: something between
 // the two ends may have lost track of a connection that looks open.
 func (p *peers) connect(pr *peer, w *way) (*rpc.Conn, error) {
+	w.dialling.Lock()
+	defer w.dialling.Unlock()
 	w.mu.Lock()
 	conn := w.conn
 	w.mu.Unlock()
--- a/internal/core/consensus/log.go
+++ b/internal/core/consensus/log.go
@@ -45,6 +45,15 @@
 	return ents[:len(ents):len(ents)]
 }
 
+// bytes returns the size of the entries from..to inclusive, of those that are there.
+func (l *raftLog) bytes(from, to uint64) int {
+	size := 0
+	for i := max(from, l.snap.Index+1); i <= min(to, l.lastIndex()); i++ {
+		size += len(l.entries[i-l.snap.Index-1].Data)
+	}
+	return size
+}
+
 // append adds leader entries at the end.
 func (l *raftLog) append(ents ...Entry) {
 	l.entries = append(l.entries, ents...)
--- a/internal/core/consensus/progress.go
+++ b/internal/core/consensus/progress.go
@@ -8,7 +8,7 @@
 	match    uint64 // highest index known to be synced there
 	next     uint64 // next index to send
 	inflight int    // appends sent and not yet answered
-	bytes    int    // of entries or of a snapshot sent since none was under way
+	bytes    int    // of entries or of a snapshot sent and not known to be synced there
 	probing  bool   // one append at a time until the first success
 	snapshot uint64 // index of a snapshot on its way, 0 if none
 	waited   int    // ticks since anything was sent while waiting
@@ -29,7 +29,8 @@
 }
 
 // accepted records an acknowledgement up to index.
-func (p *progress) accepted(index uint64) {
+// bytes is the size of the entries that it covers for the first time.
+func (p *progress) accepted(index uint64, bytes int) {
 	if p.inflight > 0 {
 		p.inflight--
 	}
@@ -43,8 +44,11 @@
 	if p.snapshot != 0 && p.match >= p.snapshot {
 		p.snapshot = 0
 	}
-	if p.inflight == 0 && p.snapshot == 0 {
-		p.bytes = 0
+	p.bytes = max(0, p.bytes-bytes)
+	if p.match+1 == p.next {
+		// All that was sent is there. An acknowledgement that was lost counts as under
+		// way until here, and what it covered as bytes.
+		p.inflight, p.bytes = 0, 0
 	}
 	p.probing = false
 }
--- a/internal/core/consensus/step.go
+++ b/internal/core/consensus/step.go
@@ -142,7 +142,7 @@
 		return
 	}
 	invariant(m.Index <= n.log.lastIndex(), "acknowledgement beyond the log", m.Index, n.log.lastIndex())
-	p.accepted(m.Index)
+	p.accepted(m.Index, n.log.bytes(p.match+1, m.Index))
 	n.advanceCommit()
 	if n.transfer == m.From && p.match == n.log.lastIndex() {
 		n.send(Message{Type: MsgTimeoutNow, To: m.From})
