A release that knows no packed texts refuses them instead of taking them for empty

Change: the text is an object where it is packed; an older release cannot read that and stops. Test: TestReleaseWithoutPackedTextsRefusesThem, with the older form of the type.

--- a/internal/core/state/deployment_test.go
+++ b/internal/core/state/deployment_test.go
@@ -78,5 +78,23 @@
 	var c Command
 	is.NoErr(json.Unmarshal([]byte(`{"deploy":{"version":3,"text":"`+long+`"}}`), &c))
 	is.Equal(*c.Deploy, Deploy{3, long})
-	is.True(json.Unmarshal([]byte(`{"deploy":{"version":3,"packed":"AAAA"}}`), &c) != nil) // damaged: an error, not an empty text
+	for _, damaged := range []string{`{"gzip":"AAAA"}`, `{"gzip":""}`, `{}`, `17`, `["a"]`} { // an error, not an empty text
+		is.True(json.Unmarshal([]byte(`{"deploy":{"version":3,"text":`+damaged+`}}`), &c) != nil)
+	}
+	is.True(json.Unmarshal([]byte(`{"deploy":{"version":3}}`), &c) != nil)
+}
+
+// Symptom: in a group of two releases an empty configuration is decided and acknowledged.
+// Sequence: a host of a newer release writes a packed text, one of an older reads it.
+func TestReleaseWithoutPackedTextsRefusesThem(t *testing.T) {
+	is := is.New(t)
+	data, err := json.Marshal(Command{Deploy: &Deploy{3, strings.Repeat("x", 2*packFrom)}})
+	is.NoErr(err)
+	var older struct {
+		Deploy *struct {
+			Version uint64 `json:"version"`
+			Text    string `json:"text"`
+		} `json:"deploy"`
+	}
+	is.True(json.Unmarshal(data, &older) != nil)
 }
--- a/internal/core/state/packed.go
+++ b/internal/core/state/packed.go
@@ -18,24 +18,36 @@
 
 var errTextTooLong = errors.New("the packed text of a deployment is too long")
 
-// deployEntry is how a Deploy is written. Exactly one of Text and Packed is set.
+// deployEntry is how a Deploy is written.
 type deployEntry struct {
 	Version uint64 `json:"version"`
-	Text    string `json:"text,omitempty"`
-	Packed  []byte `json:"packed,omitempty"` // by gzip
+	// Text is a string, or a packedText. A release that knows no packed texts cannot read
+	// that one and stops; with a field of another name it would take the text for empty
+	// and decide that, or differ from the others for good.
+	Text json.RawMessage `json:"text"`
+}
+
+// packedText is a long text.
+type packedText struct {
+	Gzip []byte `json:"gzip"`
 }
 
 // MarshalJSON packs a long text. Routes repeat themselves: 4,200 take 0.82 MB and 0.09 MB
 // packed, and a leader sends each entry to every member over one link.
 func (d Deploy) MarshalJSON() ([]byte, error) {
-	if len(d.Text) < packFrom {
-		return json.Marshal(deployEntry{Version: d.Version, Text: d.Text})
+	var text any = d.Text
+	if len(d.Text) >= packFrom {
+		packed, err := pack(d.Text)
+		if err != nil {
+			return nil, err
+		}
+		text = packedText{packed}
 	}
-	packed, err := pack(d.Text)
+	raw, err := json.Marshal(text)
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(deployEntry{Version: d.Version, Packed: packed})
+	return json.Marshal(deployEntry{Version: d.Version, Text: raw})
 }
 
 // UnmarshalJSON reads both forms.
@@ -44,12 +56,15 @@
 	if err := json.Unmarshal(b, &e); err != nil {
 		return err
 	}
-	*d = Deploy{Version: e.Version, Text: e.Text}
-	if len(e.Packed) == 0 {
-		return nil
+	*d = Deploy{Version: e.Version}
+	if !bytes.HasPrefix(bytes.TrimSpace(e.Text), []byte("{")) {
+		return json.Unmarshal(e.Text, &d.Text)
+	}
+	var p packedText
+	err := json.Unmarshal(e.Text, &p)
+	if err == nil {
+		d.Text, err = unpack(p.Gzip)
 	}
-	var err error
-	d.Text, err = unpack(e.Packed)
 	return err
 }
 
