--- a/internal/app/control/peers.go
+++ b/internal/app/control/peers.go
@@ -23,40 +23,6 @@
 	peerSilence = 2 * time.Second // an idle-looking connection to a peer is closed and dialled anew
 )
 
-// lane is one of the connections to another control host.
-//
-// Log entries, snapshots and proposals have one, in their order, and all else has another:
-// signs of life, votes, acknowledgements, short calls. Symptom with a single one: an entry of 0.8 MB goes to
-// seven hosts over a link of 100 Mbit/s, heartbeats wait 0.45 s behind it, followers
-// campaign against a leader that is well, and the next one begins the entry anew; it is
-// never decided while leaders change every 1.5 s. Beside it, heartbeats share the link
-// with the entry but not its queue.
-type lane int
-
-const (
-	signLane lane = iota
-	logLane
-	lanes
-)
-
-// laneOf returns the lane of a message. Appends must not overtake each other: a follower
-// refuses one whose predecessor it lacks, and both are sent anew.
-func laneOf(m consensus.Message) lane {
-	if m.Type == consensus.MsgAppend || m.Type == consensus.MsgSnapshot {
-		return logLane
-	}
-	return signLane
-}
-
-// callLane returns the lane of a call. Only proposals may carry a whole deployment; the
-// rest are short, and some renew leases.
-func callLane(method string) lane {
-	if method == wire.MethodPropose {
-		return logLane
-	}
-	return signLane
-}
-
 // peers holds the outgoing connections to the other control hosts.
 type peers struct {
 	sec   rpc.Security
@@ -81,17 +47,6 @@
 	stop chan struct{}
 }
 
-// way is what goes to a peer on one lane.
-type way struct {
-	queue chan queued
-	// dialling is held while a connection is opened: with two, entries could overtake
-	// each other, and one would never be closed.
-	dialling sync.Mutex
-
-	mu   sync.Mutex
-	conn *rpc.Conn
-}
-
 func newPeer(addr string) *peer {
 	pr := &peer{addr: addr, stop: make(chan struct{})}
 	for l := range pr.ways {
@@ -100,12 +55,6 @@
 	return pr
 }
 
-// queued is a message with when it was queued.
-type queued struct {
-	msg consensus.Message
-	at  time.Time
-}
-
 func newPeers(self consensus.NodeID, sec rpc.Security, count *rpc.Counter, log zerolog.Logger, waits *vm.Summary, met func(consensus.NodeID) (string, bool)) *peers {
 	return &peers{sec: sec, count: count, self: self, log: log, waits: waits, met: met, peers: map[consensus.NodeID]*peer{}}
 }
@@ -217,36 +166,6 @@
 	p.log.Warn().Str("address", pr.addr).Dur("waited", waited).Int("messages", len(batch)).Int("entry_bytes", entries).Msg("messages_waited")
 }
 
-const (
-	peerBatch = 64 // messages in a frame
-	// peerBatchBytes is from how many bytes of entries on nothing is added to a frame.
-	// Its reader acknowledges none of it before it has all.
-	peerBatchBytes = 256 << 10
-)
-
-// entryBytes returns the size of the entries that a message carries.
-func entryBytes(m consensus.Message) int {
-	n := 0
-	for _, e := range m.Entries {
-		n += len(e.Data)
-	}
-	return n
-}
-
-func (w *way) gather(first consensus.Message) []consensus.Message {
-	batch, bytes := []consensus.Message{first}, entryBytes(first)
-	for len(batch) < peerBatch && bytes < peerBatchBytes {
-		select {
-		case q := <-w.queue:
-			batch = append(batch, q.msg)
-			bytes += entryBytes(q.msg)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
 func (pr *peer) pause() {
 	select {
 	case <-pr.stop:
@@ -305,15 +224,6 @@
 	}
 }
 
-func (w *way) drop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.conn != nil {
-		w.conn.Close()
-		w.conn = nil
-	}
-}
-
 // call sends a call to another control host.
 func (p *peers) call(ctx context.Context, to consensus.NodeID, method string, params, result any) error {
 	p.mu.Lock()
--- a/internal/app/controller/hold.go
+++ b/internal/app/controller/hold.go
@@ -27,6 +27,7 @@
 // beginHold looks up who held the engines before this leader.
 func (c *Controller) beginHold(now time.Time) {
 	if c.cfg.Lease == 0 {
+		c.cfg.Log.Warn().Uint64("term", c.term).Msg("lease_not_named")
 		c.hold = hold{noted: true, settled: true}
 		return
 	}
