--- a/internal/core/state/deployment_test.go
+++ b/internal/core/state/deployment_test.go
@@ -57,7 +57,7 @@
 	is := is.New(t)
 	var routes strings.Builder
 	for i := range 4200 {
-		fmt.Fprintf(&routes, `{"name":"r%04d-%x","host":"%x.example","pathPrefix":"/%x/","timeoutMs":4000,"attempts":2},`, i, i*i*7919, i*104729, i*i*31)
+		fmt.Fprintf(&routes, `{"name":"r%04d-%x","host":"%x.example","path":"/%x/","timeoutMs":4000,"attempts":2},`, i, i*i*7919, i*104729, i*i*31)
 	}
 	for _, text := range []string{"", "short", "short and \"quoted\"\n", routes.String()} {
 		data, err := json.Marshal(Command{Deploy: &Deploy{7, text}})
