--- a/internal/core/holder/holder.go
+++ b/internal/core/holder/holder.go
@@ -9,15 +9,15 @@
 // Fencing numbers do not prevent that. An engine that checks them refuses the late order
 // of a leader that was replaced; leaders that replace each other bear rising numbers, and
 // all of their orders are accepted. Nor can it be left to leaders that seldom change:
-// what makes them change often is what this must withstand. So the rule holds whether
-// or not engines check numbers.
+// what makes them change often is what this must withstand. The rule therefore holds
+// whether or not engines check numbers.
 //
-// So every leader notes in the replicated log that it holds the engines, before its
-// first order, and that it has settled, once it has held them for a lease and as long as
-// an order of the holder before it may have been on its way. A new leader that
-// finds the second note of the holder before it orders at once: any holder before that
-// gave its last order a lease ago. Otherwise it waits for a lease. No clock is compared
-// with another host's, and the notes survive a kill of all.
+// Every leader notes in the replicated log that it holds the engines, before its first
+// order, and that it has settled, once it has held them for a lease and as long as an
+// order of the holder before it may have been on its way. A new leader that finds the
+// second note of the holder before it orders at once: any holder before that gave its
+// last order a lease ago. Otherwise it waits for a lease. No clock is compared with
+// another host's, and the notes survive a kill of all.
 //
 // Gain over waiting for a lease after every change of leader: the seconds after a change
 // are a busy deployment's worst, as nothing is loaded in them. Worth +0.088 +- 0.006 on 5
