--- a/internal/app/control/lane.go
+++ b/internal/app/control/lane.go
@@ -14,9 +14,9 @@
 // Log entries, snapshots and proposals have one, in their order, and all else has another:
 // signs of life, votes, acknowledgements, short calls. Symptom with a single one: an entry
 // of 0.8 MB goes to seven hosts over a link of 100 Mbit/s, heartbeats wait 0.41 s behind
-// it (median of 269 waits logged on one day), followers campaign against a leader that is well, and the next one begins the entry
-// anew; it is never decided while leaders change every 1.5 s. Beside it, heartbeats share
-// the link with the entry but not its queue.
+// it (median of 269 waits logged on one day), followers campaign against a leader that is
+// well, and the next one begins the entry anew; it is never decided while leaders change
+// every 1.5 s. Beside it, heartbeats share the link with the entry but not its queue.
 type lane int
 
 const (
