What engines hold is believed from when it was asked for, not from when it comes

The list has four pages there and a leader short of processor time; entries saw it 1.5 to 2.3 s old. It was believed for coming 1.5 s after the newest order, though it had been asked for, and made, before that order. Reports had the same fault with what was loaded within 0.5 s.

Ruled out: late orders (the sequence numbers were as expected), adapters (both orders were loads of models), a new start (none before the crash).

Change: the list and reports count from the moment at which they were asked for.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -300,7 +300,7 @@
 			}
 			c.listOK = true
 			c.noteUnreadable(l)
-			c.planner.List(now, l.Endpoints)
+			c.planner.List(now, asked, l.Endpoints)
 			c.board.listed(asked, usualAge(l.Calls, took))
 		})
 	}()
--- a/internal/app/controller/controller_test.go
+++ b/internal/app/controller/controller_test.go
@@ -341,7 +341,7 @@
 	}
 	for i := range 100 { // one change each 2 ms
 		now = now.Add(2 * time.Millisecond)
-		c.planner.List(now, []fleet.Endpoint{{ID: fleet.EndpointID(fmt.Sprint(i)), Service: "llm"}})
+		c.planner.List(now, now, []fleet.Endpoint{{ID: fleet.EndpointID(fmt.Sprint(i)), Service: "llm"}})
 		c.publish(now)
 	}
 	is.True(c.rev >= 6 && c.rev <= 7) // every 31 ms
--- a/internal/app/lab/run.go
+++ b/internal/app/lab/run.go
@@ -197,7 +197,8 @@
 		x.known = eps
 		return
 	}
-	x.after(listLag, func() { x.planner.List(x.clock(), eps) })
+	asked := x.clock()
+	x.after(listLag, func() { x.planner.List(x.clock(), asked, eps) })
 }
 
 // renew replaces the oldest engine by an empty one. What runs there is cut off
--- a/internal/core/fleet/engine.go
+++ b/internal/core/fleet/engine.go
@@ -59,24 +59,24 @@
 // sequence number among them.
 const keepAdded = 500 * time.Millisecond
 
-// hold replaces what the engine holds by what was reported, and reports whether
-// that is a change. What was loaded only just now is kept: dropped from the
-// count, it would let the next order overfill the engine.
-func (e *engine) hold(hs []Held, now time.Time) bool {
+// hold replaces what the engine holds by what was reported when it was asked at the
+// given time, and reports whether that is a change. What was loaded only just before
+// that is kept: dropped from the count, it would let the next order overfill the engine.
+func (e *engine) hold(hs []Held, asked time.Time) bool {
 	next := make(map[string]*held, len(hs))
 	for _, h := range hs {
 		n := &held{version: h.Version, adapters: make(map[string]time.Time, len(h.Adapters))}
 		for _, a := range h.Adapters {
-			n.adapters[a] = now
+			n.adapters[a] = asked
 		}
 		next[h.Model] = n
 	}
-	e.keepNew(next, now)
+	e.keepNew(next, asked)
 	change := len(next) != len(e.held)
 	for name, n := range next {
 		old, known := e.held[name]
 		if !known {
-			n.used, change = now, true
+			n.used, change = asked, true
 			continue
 		}
 		n.used = old.used
@@ -93,11 +93,11 @@
 	return change
 }
 
-// keepNew adds to next what was loaded only just now.
-func (e *engine) keepNew(next map[string]*held, now time.Time) {
+// keepNew adds to next what was loaded only just before the engine was asked, or since.
+func (e *engine) keepNew(next map[string]*held, asked time.Time) {
 	for w, at := range e.added {
 		old := e.held[w.Model]
-		if now.Sub(at) > keepAdded || old == nil {
+		if asked.Sub(at) > keepAdded || old == nil {
 			delete(e.added, w)
 			continue
 		}
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -34,8 +34,8 @@
 	RatePerReplica float64
 	// MostOfEngines is the share of the engines that one model may take.
 	MostOfEngines float64
-	// Settle is how long a report must be newer than an order for the
-	// platform's list to be believed about what an engine holds.
+	// Settle is how long after the newest order or report of an engine the platform's
+	// list must be asked for to be believed about what that engine holds.
 	Settle time.Duration
 	// Patience is the time after which an order without effect is looked into.
 	Patience time.Duration
@@ -141,8 +141,8 @@
 	return out
 }
 
-// List takes in the platform's list, read at the given time.
-func (p *Planner) List(now time.Time, eps []Endpoint) {
+// List takes in the platform's list, which was asked for at asked: it tells nothing newer.
+func (p *Planner) List(now, asked time.Time, eps []Endpoint) {
 	listed := make(map[EndpointID]bool, len(eps))
 	byName := p.byName()
 	for _, ep := range Latest(eps, p.starts()) {
@@ -166,7 +166,10 @@
 			continue
 		}
 		e.setCopies(ep.Copies)
-		if e.order == nil && now.Sub(e.touched) > p.cfg.Settle && e.hold(ep.Held, now) {
+		// What counts is when the list was asked for, not when it comes: one of many
+		// pages comes seconds later where the reader is short of processor time. Believed
+		// then, it hides what was loaded since, and the next load overfills the engine.
+		if e.order == nil && asked.Sub(e.touched) > p.cfg.Settle && e.hold(ep.Held, asked) {
 			p.changed = true
 		}
 	}
--- a/internal/core/fleet/planner_test.go
+++ b/internal/core/fleet/planner_test.go
@@ -185,7 +185,7 @@
 	is := is.New(t)
 	p := New(DefaultConfig())
 	now := time.Unix(1e6, 0)
-	p.List(now, []Endpoint{{ID: "e", Service: "llm", Slots: 8}})
+	p.List(now, now, []Endpoint{{ID: "e", Service: "llm", Slots: 8}})
 	e := p.engines["e"]
 	e.sequence, e.known = 7, true
 	o := Order{Endpoint: "e", Op: Load, Want: Want{Model: "m0"}, Expected: 7}
@@ -293,7 +293,7 @@
 	p := New(DefaultConfig())
 	p.SetDeployment(&deploy.Config{Services: map[string]*deploy.Service{"llm": {Name: "llm", Engine: testEngine(4)}}})
 	ep := Endpoint{ID: "e0", Service: "llm", Addr: "10.0.0.1:80", Slots: 8, Held: []Held{{Model: "m1"}}}
-	p.List(now, []Endpoint{ep})
+	p.List(now, now, []Endpoint{ep})
 	p.Hear(now, "entry", []Demand{
 		{Want: Want{Model: "m1"}, Arrived: 40},
 		{Want: Want{Model: "m2"}, Arrived: 8, Waiting: 2},
@@ -309,7 +309,7 @@
 
 	p.Reported(now, "e0", Report{Held: ep.Held})
 	ep.Leaving = true
-	p.List(now.Add(time.Second), []Endpoint{ep})
+	p.List(now.Add(time.Second), now.Add(time.Second), []Endpoint{ep})
 	w := p.Plan(now.Add(time.Second))
 	is.Equal(len(w.Queries), 1) // asked how long it stays
 }
--- a/internal/core/fleet/results.go
+++ b/internal/core/fleet/results.go
@@ -236,7 +236,7 @@
 	e.doubt = now.Sub(e.moved) < settleMoved
 	e.setCopies(r.Copies)
 	e.touched = now
-	if e.hold(r.Held, now) {
+	if e.hold(r.Held, e.asked) {
 		p.changed = true
 	}
 }
--- a/internal/core/fleet/sim_test.go
+++ b/internal/core/fleet/sim_test.go
@@ -201,7 +201,7 @@
 	for _, e := range s.engines {
 		eps = append(eps, e.listed(s.now))
 	}
-	s.p.List(s.now, eps)
+	s.p.List(s.now, s.now, eps)
 }
 
 const simStep = 10 * time.Millisecond
