Dials that nobody took use no retry budget

An entry's part of the budget is two arrivals; a dial to a dead endpoint took one, though nothing arrived there. Change: only sends that may have reached an endpoint count. The bound on what arrives is kept: what certainly did not leave is no arrival.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -15,6 +15,7 @@
 type result struct {
 	done    bool // an answer was passed on whole
 	notRun  bool // it certainly did not run there
+	unsent  bool // nothing left for the endpoint
 	final   bool // whatever the route allows, it must not be sent again
 	outcome outcome
 }
@@ -35,13 +36,13 @@
 	cc, err := x.g.pool.Get(ctx, e.Addr, x.g.maxConns(x.service))
 	if err != nil {
 		if ctx.Err() != nil {
-			return result{notRun: true, outcome: abandon}
+			return result{notRun: true, unsent: true, outcome: abandon}
 		}
 		if errors.Is(err, http1.ErrFull) {
-			return result{notRun: true, outcome: full}
+			return result{notRun: true, unsent: true, outcome: full}
 		}
 		x.g.cfg.Log.Info().Str("request", x.ask.ID).Str("endpoint", string(e.ID)).Err(err).Msg("endpoint_not_reached")
-		return result{notRun: true, outcome: unsent}
+		return result{notRun: true, unsent: true, outcome: unsent}
 	}
 	cc.Bind(ctx)
 	x.logSent(e, cc)
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -39,6 +39,7 @@
 
 	tried     map[fleet.EndpointID]bool
 	sends     int
+	reached   int           // sends that may have reached an endpoint
 	ran       int           // endpoints at which it may have run
 	begun     bool          // the head of the answer was sent to the caller
 	lastEvent string        // the newest event passed on whole
@@ -115,7 +116,7 @@
 		if e == nil {
 			return x.without()
 		}
-		if x.sends > 0 && !x.retry() {
+		if x.reached > 0 && !x.retry() {
 			x.g.dir.release(e, x.ask.Want, abandon)
 			x.reason = "retry_budget"
 			return x.without()
@@ -123,6 +124,9 @@
 		x.sends++
 		x.at = e.ID
 		res := x.attempt(ctx, e)
+		if !res.unsent {
+			x.reached++
+		}
 		x.g.dir.release(e, x.ask.Want, res.outcome)
 		if f, over := x.judge(ctx, e, res); over {
 			return f
@@ -130,7 +134,10 @@
 	}
 }
 
-// retry takes one more send from the retry budget.
+// retry takes one more send from the retry budget, which bounds what arrives at endpoints.
+// Sends that did not leave are no part of it: symptom otherwise, when a quarter of 180
+// engines crash at once, hundreds of requests are refused for the budget that dials to dead
+// endpoints used up.
 func (x *exchange) retry() bool {
 	allowed := x.g.budget(x.service, func(b *limit.Shared) bool { return b.Retry(rand.Float64()) })
 	x.g.met.retried(allowed)
