How many loads the store serves at a time is learned

Cause: on the small twin of the large deployment (36 servers, 586 models) most rare models lie on no disk; the store serves ten loads at a time at full speed, four are begun at most. Change: as long as loads take their stated time twice as many are tried, up to a third of the engines; slow ones tell how many are served (n loads that take r times as long show n/r); while most under way are slow none begins. A quarter of the places is kept for models whose engines are crowded. Tests: 36 to over 60 loads in 120 s where ten are served at a time; one, two and three served at a time are found from four begun; single quick loads prove nothing; a third of the engines at most. They replace a test of the old steps (one less or more at each load, four at most), which this does otherwise.

--- a/internal/core/fleet/engine.go
+++ b/internal/core/fleet/engine.go
@@ -46,6 +46,7 @@
 	accepted bool
 	inferred bool      // from the sequence number alone
 	due      time.Time // when a report should show its effect
+	area     float64   // storePace.area when it was given
 }
 
 func newEngine(ep Endpoint, now time.Time) *engine {
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -61,6 +61,7 @@
 	p.settleByTime(now)
 	p.sum()
 	p.look = p.survey(now)
+	p.lookAtStore(now)
 	p.observeStays(now)
 	w.Settled, p.settled = p.settled, nil
 	w.Started, p.started = p.started, nil
@@ -113,6 +114,7 @@
 	for _, name := range p.look.busy {
 		holders, full := p.replicas(now, name)
 		if holders > 0 && full == holders && holders < p.mostReplicas() {
+			p.look.crowd[name] = true
 			p.place(now, name, p.look.oldest[name] > crowdPatience, w)
 		}
 	}
@@ -186,7 +188,9 @@
 	e.order = &underway{Order: o, given: now, takes: takes, due: now.Add(takes + reportLag)}
 	e.touched = now
 	if o.Source == FromStore {
-		p.store++
+		p.store.observe(now)
+		e.order.area = p.store.area
+		p.store.under++
 		p.fetched = append(p.fetched, now)
 	}
 	if o.Op == Unload {
--- a/internal/core/fleet/place.go
+++ b/internal/core/fleet/place.go
@@ -85,7 +85,7 @@
 		return site{}, false
 	}
 	src, takes := e.source(m)
-	if src == FromStore && (!mayFetch || !p.mayFetch(now, eng)) {
+	if src == FromStore && (!mayFetch || !p.mayFetch(now, eng, p.look.crowd[name])) {
 		return site{}, false
 	}
 	s := site{e: e, source: src, takes: takes, cost: takes.Seconds()}
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -12,10 +12,8 @@
 
 // Config holds the planner's thresholds.
 type Config struct {
-	// StoreAtOnce is how many loads may come from the weight store at a time, at
-	// most. Beyond the store's own concurrency, which nobody tells, each load
-	// takes longer in proportion; where loads take longer than they should,
-	// fewer are begun.
+	// StoreAtOnce is how many loads may come from the weight store at a time to
+	// begin with; storePace learns from how long they take.
 	StoreAtOnce int
 	// StoreShare is the share of the store's rate that is used. The rest is for
 	// what an earlier leader may have ordered within the same window.
@@ -96,8 +94,7 @@
 	sources  map[string]map[Want]Demand // entry to what waits there
 	uses     map[string][]Use           // entry to what runs from there
 	fetched  []time.Time                // when loads from the store were ordered lately
-	atOnce   int                        // loads from the store that may be under way
-	store    int                        // loads from the store under way
+	store    storePace
 	settled  []Settled
 	started  []Started
 	look     *survey // of the plan under way
@@ -118,7 +115,7 @@
 // New returns a Planner that knows nothing yet.
 func New(cfg Config) *Planner {
 	return &Planner{
-		cfg: cfg, atOnce: cfg.StoreAtOnce, engines: map[EndpointID]*engine{}, models: map[string]*model{}, wants: map[Want]*demand{},
+		cfg: cfg, store: storePace{atOnce: cfg.StoreAtOnce}, engines: map[EndpointID]*engine{}, models: map[string]*model{}, wants: map[Want]*demand{},
 		sources: map[string]map[Want]Demand{}, uses: map[string][]Use{}, copies: newCopyIndex(), fresh: map[Want]bool{},
 	}
 }
--- a/internal/core/fleet/results.go
+++ b/internal/core/fleet/results.go
@@ -122,7 +122,7 @@
 
 func (p *Planner) endOrder(e *engine) {
 	if e.order != nil && e.order.Source == FromStore {
-		p.store--
+		p.store.under--
 	}
 	e.order = nil
 }
@@ -204,7 +204,7 @@
 	if !e.order.shows(r) && now.Sub(e.order.due) < p.cfg.Patience {
 		return // the report lags behind the engine
 	}
-	p.learnStore(e.order, now.Sub(e.order.given))
+	p.learnStore(now, e.order)
 	p.takeReport(now, e, r)
 	if e.order.inferred {
 		// Which order took the number is not known. If it was an earlier one, its
--- a/internal/core/fleet/survey.go
+++ b/internal/core/fleet/survey.go
@@ -18,6 +18,7 @@
 	holders map[string]int           // model to how many of these go on holding it
 	loading map[Want][]*engine       // to the engines that load it
 	oldest  map[string]time.Duration // models that requests wait for, to the longest wait so far
+	crowd   map[string]bool          // models whose engines are all crowded
 	busy    []string                 // models with busyRate and more, the busiest first
 	free    []*engine                // engines that may be given an order
 	rooms   map[*engine]*room        // filled in when first asked for
@@ -37,7 +38,7 @@
 }
 
 func (p *Planner) survey(now time.Time) *survey {
-	s := &survey{holding: make(map[string][]*engine, len(p.models)), holders: make(map[string]int, len(p.models)), loading: map[Want][]*engine{}, oldest: make(map[string]time.Duration, len(p.wants)),
+	s := &survey{holding: make(map[string][]*engine, len(p.models)), holders: make(map[string]int, len(p.models)), loading: map[Want][]*engine{}, oldest: make(map[string]time.Duration, len(p.wants)), crowd: map[string]bool{},
 		rooms: make(map[*engine]*room, len(p.engines)), fixed: map[*deploy.Engine]fixed{}}
 	for _, e := range p.engines {
 		p.copies.refresh(e)
