--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -34,12 +34,6 @@
 	planRest = 9
 	// mostPause bounds that: a cold start waits for at most this much more.
 	mostPause = 100 * time.Millisecond
-	// publishPerEntry is the least time between two announcements of changes to all, for
-	// each entry that is told: every change wakes every entry's pull, and its answer costs
-	// a third of a millisecond and some kB. Entries that wait for a change are told at once.
-	publishPerEntry = 2 * time.Millisecond
-	// publishAwaited is the least time between announcements to those that wait for them.
-	publishAwaited = 10 * time.Millisecond
 	// tickFollowing is how often leadership is looked at otherwise.
 	tickFollowing = 100 * time.Millisecond
 	// listEvery is the time between reads of the platform's list. The list
@@ -58,11 +52,6 @@
 	// in which demand moves to other models.
 	demandEvery  = 5 * time.Second
 	demandModels = 8
-	// foretellEvery is the time between looks at when models will be held: a caller who
-	// learns that its model cannot come in time waits for at most this much longer.
-	foretellEvery = 40 * time.Millisecond
-	// entryStays is how long an entry counts after it was last heard.
-	entryStays = 3 * time.Second
 )
 
 // Config is what a Controller is made from.
@@ -410,55 +399,3 @@
 		}
 	})
 }
-
-// foretell shows entries when models that no engine holds will be held.
-func (c *Controller) foretell(now time.Time) {
-	if now.Sub(c.foreseen) < foretellEvery {
-		return
-	}
-	c.foreseen = now
-	changed := c.foretold.Take(now, c.planner.Outlooks(now))
-	if len(changed) == 0 {
-		return
-	}
-	for _, o := range changed {
-		if o.In > 0 {
-			c.cfg.Log.Info().Str("model", o.Model).Dur("in", o.In).Msg("model_foretold")
-		}
-	}
-	c.planner.Foretell(changed)
-	c.board.outlooks(now, c.rev+1, changed)
-	c.news = true
-}
-
-// publish shows entries what changed.
-func (c *Controller) publish(now time.Time) {
-	for h, at := range c.entries {
-		if now.Sub(at) > entryStays {
-			delete(c.entries, h)
-			c.planner.Forget(h)
-			c.cfg.Log.Warn().Str("entry", h).Msg("entry_silent")
-		}
-	}
-	c.board.running(c.planner.Loads(), len(c.entries))
-	c.foretell(now)
-	c.news = c.planner.Changed() || c.news
-	if !c.news || !c.listOK {
-		return
-	}
-	if now.Sub(c.told) >= publishPerEntry*time.Duration(len(c.entries)) {
-		c.news, c.told, c.toldSome = false, now, now
-		c.rev++
-		c.planner.Awaited() // who waits is told with all
-		c.board.endpoints(c.rev, c.planner.Endpoints())
-		return
-	}
-	if now.Sub(c.toldSome) < publishAwaited {
-		return
-	}
-	if awaited := c.planner.Awaited(); len(awaited) > 0 {
-		c.toldSome = now
-		c.rev++
-		c.board.endpointsTo(awaited, c.rev, c.planner.Endpoints())
-	}
-}
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -1,9 +1,7 @@
 package fleet
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -157,34 +155,6 @@
 	return int(math.Ceil(p.cfg.MostOfEngines * float64(len(p.engines))))
 }
 
-// busiest returns the models with more than a request a second, which alone can
-// fill an engine, the busiest first.
-func (p *Planner) busiest(now time.Time) []string {
-	var out []rated
-	for name := range p.models {
-		if rate := p.rate(now, name); rate >= busyRate {
-			out = append(out, rated{name, rate})
-		}
-	}
-	return byRate(out)
-}
-
-// rated is a model with its request rate.
-type rated struct {
-	name string
-	rate float64 // requests a second
-}
-
-// byRate returns the names of models, the most asked for first.
-func byRate(ms []rated) []string {
-	slices.SortFunc(ms, func(a, b rated) int { return cmp.Or(cmp.Compare(b.rate, a.rate), cmp.Compare(a.name, b.name)) })
-	out := make([]string, len(ms))
-	for i, m := range ms {
-		out[i] = m.name
-	}
-	return out
-}
-
 // give records an order as under way and hands it out.
 func (p *Planner) give(now time.Time, e *engine, o Order, takes time.Duration, w *Work) {
 	o.Endpoint, o.Server, o.Addr, o.Expected = e.ep.ID, e.ep.Name(), e.ep.Addr, e.sequence
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -331,61 +330,6 @@
 	return m.rate
 }
 
-// ModelDemand is what is known of the demand for one model.
-type ModelDemand struct {
-	Model   string
-	Rate    float64 // requests a second
-	Holders int     // engines that hold it
-	Waiting int     // requests that wait for it or its adapters
-}
-
-// String returns the demand for logs.
-func (d ModelDemand) String() string {
-	return fmt.Sprintf("%s %.1f/s held by %d, %d wait", d.Model, d.Rate, d.Holders, d.Waiting)
-}
-
-// leastNoted is the rate below which a model counts as idle: a request a minute.
-const leastNoted = 1.0 / 60
-
-// Busiest returns the demand for the n models that are asked for most.
-func (p *Planner) Busiest(now time.Time, n int) []ModelDemand {
-	p.sum()
-	var out []ModelDemand
-	for name := range p.models {
-		if rate := p.rate(now, name); rate >= leastNoted {
-			out = append(out, ModelDemand{Model: name, Rate: rate})
-		}
-	}
-	slices.SortFunc(out, func(a, b ModelDemand) int { return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Model, b.Model)) })
-	out = out[:min(n, len(out))]
-	for i := range out {
-		out[i].Holders, out[i].Waiting = p.holders(out[i].Model), p.waiting(out[i].Model)
-	}
-	return out
-}
-
-// holders returns how many engines hold a model.
-func (p *Planner) holders(name string) int {
-	n := 0
-	for _, e := range p.engines {
-		if e.has(Want{Model: name}) {
-			n++
-		}
-	}
-	return n
-}
-
-// waiting returns how many requests wait for a model or its adapters.
-func (p *Planner) waiting(name string) int {
-	n := 0
-	for w, d := range p.wants {
-		if w.Model == name {
-			n += d.waiting
-		}
-	}
-	return n
-}
-
 // spec returns the engine and model descriptions, or nil if the deployment in
 // force does not know them.
 func (p *Planner) spec(e *engine, name string) (*deploy.Engine, *deploy.Model) {
