--- a/internal/app/controller/board.go
+++ b/internal/app/controller/board.go
@@ -16,27 +16,27 @@
 // board is what the controller shows entries. Calls read it without waiting
 // for the loop.
 type board struct {
-	mu       sync.Mutex
-	leading  bool
-	term     uint64
-	rev      uint64
-	eps      map[fleet.EndpointID]shown
-	removed  map[fleet.EndpointID]uint64 // to the revision that removed it
-	floor    uint64                      // removals up to here are forgotten
-	runs     map[fleet.EndpointID]int
-	runsRaw  json.RawMessage     // runs; nil until it is asked for
-	foretold map[string]foretold // model to what was told of it last
-	count    int
-	read     time.Time     // of the platform's list
-	usual    time.Duration // how old the list gets before the next read ends
-	dep      state.Deployment
-	packed   map[uint64][]byte              // what changed up to rev, by the revision it changed from; 0 for the whole list
-	depPack  []byte                         // dep; nil until it is asked for
-	link     *limit.Meter                   // of large answers
-	changed  chan struct{}                  // closed and replaced at each change worth telling
-	shared   uint64                         // revision that all entries are told; newer ones only those that wait for them
-	awaited  map[ident.HostID]uint64        // entry to the newest revision that it waits for
-	wakes    map[ident.HostID]chan struct{} // closed when the entry's revision comes
+	mu      sync.Mutex
+	leading bool
+	term    uint64
+	rev     uint64
+	eps     map[fleet.EndpointID]shown
+	removed map[fleet.EndpointID]uint64 // to the revision that removed it
+	floor   uint64                      // removals up to here are forgotten
+	runs    map[fleet.EndpointID]int
+	runsRaw json.RawMessage     // runs; nil until it is asked for
+	etas    map[string]shownETA // model to what was told of it last
+	count   int
+	read    time.Time     // of the platform's list
+	usual   time.Duration // how old the list gets before the next read ends
+	dep     state.Deployment
+	packed  map[uint64][]byte              // what changed up to rev, by the revision it changed from; 0 for the whole list
+	depPack []byte                         // dep; nil until it is asked for
+	link    *limit.Meter                   // of large answers
+	changed chan struct{}                  // closed and replaced at each change worth telling
+	shared  uint64                         // revision that all entries are told; newer ones only those that wait for them
+	awaited map[ident.HostID]uint64        // entry to the newest revision that it waits for
+	wakes   map[ident.HostID]chan struct{} // closed when the entry's revision comes
 }
 
 // shown is an endpoint with the revision that changed it last.
@@ -45,11 +45,11 @@
 	ep  fleet.Endpoint
 }
 
-// foretold is an outlook with the revision that changed it last. Its moment is that of
+// shownETA is an ETA with the revision that changed it last. Its moment is that of
 // this host's clock; entries are told the time until then.
-type foretold struct {
+type shownETA struct {
 	rev uint64
-	at  time.Time // zero if nothing is foretold any more
+	at  time.Time // zero if there is none any more
 }
 
 // untoldRate is how many bytes a second entries are told where no rate is set: two
@@ -85,7 +85,7 @@
 	b.rev, b.floor, b.shared, b.packed = 0, 0, 0, map[uint64][]byte{}
 	b.awaited, b.wakes = map[ident.HostID]uint64{}, map[ident.HostID]chan struct{}{}
 	b.eps, b.removed = map[fleet.EndpointID]shown{}, map[fleet.EndpointID]uint64{}
-	b.foretold = map[string]foretold{}
+	b.etas = map[string]shownETA{}
 }
 
 func (b *board) lead(term uint64) {
@@ -158,29 +158,29 @@
 	return b.wakes[host]
 }
 
-// outlooks shows what changed of the outlooks, with the revision of the endpoints that
+// setETAs shows what changed of the ETAs, with the revision of the endpoints that
 // is shown next.
-func (b *board) outlooks(now time.Time, rev uint64, changed []fleet.Outlook) {
+func (b *board) setETAs(now time.Time, rev uint64, changed []fleet.ETA) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, o := range changed {
-		f := foretold{rev: rev}
+		f := shownETA{rev: rev}
 		if o.In > 0 {
 			f.at = now.Add(o.In)
 		}
-		b.foretold[o.Model] = f
+		b.etas[o.Model] = f
 	}
 }
 
-// outlook returns the outlooks that changed after a revision, all for 0. A moment that
-// has passed foretells nothing any more. The caller holds mu.
-func (b *board) outlook(now time.Time, from uint64) []fleet.Outlook {
-	var out []fleet.Outlook
-	for name, f := range b.foretold {
+// etasSince returns the ETAs that changed after a revision, all for 0. A moment that
+// has passed is none any more. The caller holds mu.
+func (b *board) etasSince(now time.Time, from uint64) []fleet.ETA {
+	var out []fleet.ETA
+	for name, f := range b.etas {
 		if f.rev <= from || (from == 0 && f.at.IsZero()) {
 			continue
 		}
-		o := fleet.Outlook{Model: name}
+		o := fleet.ETA{Model: name}
 		if !f.at.IsZero() {
 			o.In = max(f.at.Sub(now), 0)
 		}
@@ -196,7 +196,7 @@
 	if !r.Delta {
 		from = 0
 	}
-	r.Outlooks = b.outlook(time.Now(), from)
+	r.ETAs = b.etasSince(time.Now(), from)
 	for id, rev := range b.removed {
 		if r.Delta && rev > from {
 			r.Removed = append(r.Removed, id)
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -115,8 +115,8 @@
 	noted    time.Time     // when demand was logged last
 
 	unreadable int // entries of the list, as logged last
-	foretold   fleet.Foretold
-	foreseen   time.Time // when that was last looked at
+	etas       fleet.ETATable
+	estimated  time.Time // when that was last looked at
 }
 
 // New returns a Controller; Run starts it.
@@ -222,7 +222,7 @@
 	c.decoded, c.rev = 0, 0
 	c.listed, c.listOK = time.Time{}, false
 	c.entries = map[string]time.Time{}
-	c.foretold = fleet.Foretold{}
+	c.etas = fleet.ETATable{}
 	c.cfg.Log.Info().Uint64("term", term).Msg("fleet_duties_begun")
 	c.board.lead(term)
 }
--- a/internal/app/controller/publish.go
+++ b/internal/app/controller/publish.go
@@ -9,9 +9,9 @@
 	publishPerEntry = 2 * time.Millisecond
 	// publishAwaited is the least time between announcements to those that wait for them.
 	publishAwaited = 10 * time.Millisecond
-	// foretellEvery is the time between looks at when models will be held: a caller who
+	// etaEvery is the time between looks at when models will be held: a caller who
 	// learns that its model cannot come in time waits for at most this much longer.
-	foretellEvery = 40 * time.Millisecond
+	etaEvery = 40 * time.Millisecond
 	// entryStays is how long an entry counts after it was last heard.
 	entryStays = 3 * time.Second
 )
@@ -20,7 +20,7 @@
 func (c *Controller) publish(now time.Time) {
 	c.forgetSilent(now)
 	c.board.running(c.planner.Loads(), len(c.entries))
-	c.foretell(now)
+	c.estimate(now)
 	c.news = c.planner.Changed() || c.news
 	switch {
 	case !c.news || !c.listOK:
@@ -56,22 +56,22 @@
 	}
 }
 
-// foretell shows entries when models that no engine holds will be held.
-func (c *Controller) foretell(now time.Time) {
-	if now.Sub(c.foreseen) < foretellEvery {
+// estimate shows entries when models that no engine holds will be held.
+func (c *Controller) estimate(now time.Time) {
+	if now.Sub(c.estimated) < etaEvery {
 		return
 	}
-	c.foreseen = now
-	changed := c.foretold.Take(now, c.planner.Outlooks(now))
+	c.estimated = now
+	changed := c.etas.Take(now, c.planner.ETAs(now))
 	if len(changed) == 0 {
 		return
 	}
 	for _, o := range changed {
 		if o.In > 0 {
-			c.cfg.Log.Info().Str("model", o.Model).Dur("in", o.In).Msg("model_foretold")
+			c.cfg.Log.Info().Str("model", o.Model).Dur("in", o.In).Msg("model_eta")
 		}
 	}
-	c.planner.Foretell(changed)
-	c.board.outlooks(now, c.rev+1, changed)
+	c.planner.NoteETAs(changed)
+	c.board.setETAs(now, c.rev+1, changed)
 	c.news = true
 }
--- a/internal/app/ctl/trace.go
+++ b/internal/app/ctl/trace.go
@@ -179,12 +179,12 @@
 type surroundings struct{ models, endpoints, hosts map[string]bool }
 
 // concerns reports whether a line that names no request belongs to the story:
-// an order for its model or what was foretold of it, a change of an endpoint that it was sent to, or what
+// an order for its model or its ETA, a change of an endpoint that it was sent to, or what
 // its entry learned; and who leads.
 func (s surroundings) concerns(l logLine) bool {
 	event := l.Fields["event"]
 	switch {
-	case strings.HasPrefix(event, "order_"), event == "model_foretold":
+	case strings.HasPrefix(event, "order_"), event == "model_eta":
 		return l.Fields["model"] != "" && s.models[l.Fields["model"]]
 	case strings.HasPrefix(event, "endpoint_"):
 		return s.endpoints[l.Fields["endpoint"]] && s.hosts[l.Fields["host"]]
@@ -243,10 +243,10 @@
 	return ""
 }
 
-// readyText tells when a model was foretold to be held that a request was refused for.
+// readyText tells the ETA of the model that a request was refused for.
 func readyText(l logLine) string {
 	if ready := l.Fields["ready"]; ready != "" {
-		return ", which was foretold to be in " + ready + " ms at the earliest"
+		return ", whose ETA was " + ready + " ms"
 	}
 	return ""
 }
--- a/internal/app/ctl/trace_test.go
+++ b/internal/app/ctl/trace_test.go
@@ -24,7 +24,7 @@
 time=2026-08-20T03:39:13Z level=info event=endpoint_answer_broken endpoint=i-2 error="unexpected EOF" host=edge-2 request=r2 role=entry
 time=2026-08-20T03:39:13Z level=warn event=request_cut endpoint=i-2 host=edge-2 model=m2 request=r2 role=entry waited=0
 time=2026-08-20T03:39:20Z level=info event=order_settled endpoint=i-3 host=edge-3 model=m3 op=load result=reported role=control source=store took=6117.9
-time=2026-08-20T03:39:20.9Z level=info event=model_foretold host=edge-3 in=13210 model=m4 role=control
+time=2026-08-20T03:39:20.9Z level=info event=model_eta host=edge-3 in=13210 model=m4 role=control
 time=2026-08-20T03:39:21Z level=warn event=request_not_run host=edge-1 model=m4 ready=13205 reason=loaded_late request=r4 role=entry status=503 took=41 waited=38.5
 time=2026-08-20T03:39:21Z level=info event=request_answered endpoint=i-3 host=edge-1 model=m3 reason=not_loaded request=r3 role=entry status=200 waited=6820
 `
@@ -41,7 +41,7 @@
 		{"r1", "cause: refused, it did not run: no endpoint held its model or adapter; it waited 1315.8 ms for an endpoint", "answer=unsent", "model=other"},
 		{"r2", "cause: its fate is open: endpoint i-2 broke off: unexpected EOF", "event=request_sent", "i-9"},
 		{"r3", "cause: answered after a load from store that took 6117.9 ms; it waited 6820 ms for an endpoint", "order_settled", "r1"},
-		{"r4", "cause: refused, it did not run: no endpoint held its model or adapter, or would before it had to give up, which was foretold to be in 13205 ms at the earliest; it waited 38.5 ms for an endpoint", "event=model_foretold", "r3"},
+		{"r4", "cause: refused, it did not run: no endpoint held its model or adapter, or would before it had to give up, whose ETA was 13205 ms; it waited 38.5 ms for an endpoint", "event=model_eta", "r3"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.request, func(t *testing.T) {
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -33,12 +33,12 @@
 	asOf    time.Time // the platform's list is not older than this
 	byID    map[fleet.EndpointID]*endpoint
 	ended   chan struct{}        // signalled when a rare model's last request here ended
-	outlook map[string]time.Time // model that no endpoint holds to when one will at the earliest
+	etas    map[string]time.Time // model that no endpoint holds to when one will at the earliest
 	changed chan struct{}        // closed and replaced when a waiting request should look again
 }
 
 func newDirectory(zone ident.Zone, log zerolog.Logger) *directory {
-	return &directory{zone: zone, log: log, byID: map[fleet.EndpointID]*endpoint{}, outlook: map[string]time.Time{}, ended: make(chan struct{}, 1), changed: make(chan struct{})}
+	return &directory{zone: zone, log: log, byID: map[fleet.EndpointID]*endpoint{}, etas: map[string]time.Time{}, ended: make(chan struct{}, 1), changed: make(chan struct{})}
 }
 
 // wake makes waiting requests look again. The caller holds mu.
@@ -144,36 +144,36 @@
 	d.wake()
 }
 
-// foretell takes in when models will be held: what changed, or with news and without
-// delta all that is foretold.
-func (d *directory) foretell(now time.Time, delta, news bool, outlooks []fleet.Outlook) {
+// setETAs takes in when models will be held: what changed, or with news and without
+// delta all ETAs.
+func (d *directory) setETAs(now time.Time, delta, news bool, etas []fleet.ETA) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if news && !delta {
-		clear(d.outlook)
+		clear(d.etas)
 	}
-	for _, o := range outlooks {
+	for _, o := range etas {
 		if o.In <= 0 {
-			delete(d.outlook, o.Model)
+			delete(d.etas, o.Model)
 			continue
 		}
-		d.outlook[o.Model] = now.Add(o.In)
+		d.etas[o.Model] = now.Add(o.In)
 	}
-	if len(outlooks) > 0 {
+	if len(etas) > 0 {
 		d.wake()
 	}
 }
 
-// outlookStays is how old the leader's knowledge may be for what it foretold to count.
-const outlookStays = 2 * time.Second
+// etaStays is how old the leader's knowledge may be for its ETAs to count.
+const etaStays = 2 * time.Second
 
 // ready returns in what time an endpoint will hold a model at the earliest; 0 if that is
-// not foretold, or by a leader that has fallen silent.
+// not known, or told by a leader that has fallen silent.
 func (d *directory) ready(now time.Time, model string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	at, known := d.outlook[model]
-	if !known || now.Sub(d.asOf) > outlookStays {
+	at, known := d.etas[model]
+	if !known || now.Sub(d.asOf) > etaStays {
 		return 0
 	}
 	return max(at.Sub(now), 0)
--- a/internal/app/gateway/foretold_test.go
+++ b/internal/app/gateway/eta_test.go
@@ -10,12 +10,12 @@
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 )
 
-// foretelling returns a gateway whose leader has just told when models will be held.
-func foretelling(t *testing.T, os ...fleet.Outlook) *Gateway {
+// withETAs returns a gateway whose leader has just told when models will be held.
+func withETAs(t *testing.T, os ...fleet.ETA) *Gateway {
 	t.Helper()
 	g := startGateway(t, newBackend(t, answerOK))
 	g.dir.fresh(time.Now(), nil)
-	g.dir.foretell(time.Now(), true, true, os)
+	g.dir.setETAs(time.Now(), true, true, os)
 	return g
 }
 
@@ -23,7 +23,7 @@
 // Sequence: they ask for a model that the store brings in 13 s; they have 2 s.
 func TestCallerWhoseModelComesTooLateIsToldAtOnce(t *testing.T) {
 	is := is.New(t)
-	g := foretelling(t, fleet.Outlook{Model: "rare", In: 13 * time.Second})
+	g := withETAs(t, fleet.ETA{Model: "rare", In: 13 * time.Second})
 	begin := time.Now()
 	r := dial(t, g).ask("POST", "/stream/x", "r1", "body", "Model: rare")
 	is.Equal(r.status, 503)
@@ -44,7 +44,7 @@
 	b := newBackend(t, answerOK)
 	g := startGateway(t, b)
 	g.dir.fresh(time.Now(), nil)
-	g.dir.foretell(time.Now(), true, true, []fleet.Outlook{{Model: "rare", In: 300 * time.Millisecond}})
+	g.dir.setETAs(time.Now(), true, true, []fleet.ETA{{Model: "rare", In: 300 * time.Millisecond}})
 	time.AfterFunc(300*time.Millisecond, func() {
 		eps := listed(b)
 		eps[0].Held = []fleet.Held{{Model: "rare"}}
@@ -54,13 +54,13 @@
 	is.Equal(r.status, 200)
 }
 
-// Symptom: callers are refused for what a leader foretold that leads no more.
+// Symptom: callers are refused by ETAs of a leader that leads no more.
 // Sequence: the leader is cut off; the next one has not told anything yet.
-func TestNothingIsForetoldByALeaderThatFellSilent(t *testing.T) {
+func TestETAsOfASilentLeaderDoNotCount(t *testing.T) {
 	is := is.New(t)
-	g := foretelling(t, fleet.Outlook{Model: "rare", In: 13 * time.Second})
+	g := withETAs(t, fleet.ETA{Model: "rare", In: 13 * time.Second})
 	is.True(g.dir.ready(time.Now(), "rare") > 0)
-	is.Equal(g.dir.ready(time.Now().Add(outlookStays+time.Millisecond), "rare"), time.Duration(0))
-	g.dir.foretell(time.Now(), false, true, nil) // the next leader foretells nothing
+	is.Equal(g.dir.ready(time.Now().Add(etaStays+time.Millisecond), "rare"), time.Duration(0))
+	g.dir.setETAs(time.Now(), false, true, nil) // the next leader tells none
 	is.Equal(g.dir.ready(time.Now(), "rare"), time.Duration(0))
 }
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -46,7 +46,7 @@
 	kept      *answer       // a failure that an endpoint made, if nothing better comes
 	waited    time.Duration // for endpoints
 	reason    why           // for which it could not be sent
-	ready     time.Duration // in which its model was foretold to be held when it was refused for that
+	ready     time.Duration // its model's ETA when it was refused for that
 	first     time.Duration // until the first byte of the answer
 	at        fleet.EndpointID
 }
@@ -230,7 +230,7 @@
 	}
 }
 
-// comesTooLate reports whether the request's model is foretold to be held only when the
+// comesTooLate reports whether the request's model will be held only when the
 // request may wait no more.
 func (x *exchange) comesTooLate(hold time.Duration) bool {
 	x.ready = x.g.dir.ready(time.Now(), x.ask.Want.Model)
--- a/internal/app/gateway/syncer.go
+++ b/internal/app/gateway/syncer.go
@@ -161,7 +161,7 @@
 	default:
 		s.g.dir.replace(r.Term, r.Rev, *r.Endpoints)
 	}
-	s.g.dir.foretell(time.Now(), r.Delta, r.Endpoints != nil || len(r.Outlooks) > 0, r.Outlooks)
+	s.g.dir.setETAs(time.Now(), r.Delta, r.Endpoints != nil || len(r.ETAs) > 0, r.ETAs)
 	if r.ListUsual > 0 {
 		s.listAge.Store(int64(r.ListUsual))
 	}
--- a/internal/core/fleet/outlook.go
+++ b/internal/core/fleet/eta.go
@@ -7,20 +7,20 @@
 	"time"
 )
 
-// Outlook foretells when a model that no engine holds will be held at the earliest.
-type Outlook struct {
+// ETA is the estimated time until a model that no engine holds is held, at the earliest.
+type ETA struct {
 	Model string        `json:"model"`
-	In    time.Duration `json:"in,omitempty"` // from now on; 0 if nothing is foretold any more
+	In    time.Duration `json:"in,omitempty"` // from now on; 0 if it is not known any more
 }
 
 const (
 	// askedLately is for how long after a request for it a model that no engine holds
-	// is foretold and, if it lies on no disk, fetched: callers who were told to come
+	// has an ETA and, if it lies on no disk, fetched: callers who were told to come
 	// back do so within a third of their time, some 6 s.
 	askedLately = 10 * time.Second
-	// foretellFrom is the least time that is foretold. What comes sooner is waited for,
+	// leastETA is the least time that is told. What comes sooner is waited for,
 	// and depends on what makes way.
-	foretellFrom = 2 * time.Second
+	leastETA = 2 * time.Second
 	// overdueMore is how much longer a load that is late already is thought to take, as
 	// a share of the time that it has taken.
 	overdueMore = 0.25
@@ -56,26 +56,26 @@
 	}
 }
 
-// Outlooks foretells for models that were asked for lately when they will be held. It
+// ETAs estimates for models that were asked for lately when they will be held. It
 // goes by the plan made last. Gain: a caller whose model cannot come in time learns it
 // at once, and when to come back; held, it waited for 4.7 s in vain.
-func (p *Planner) Outlooks(now time.Time) []Outlook {
+func (p *Planner) ETAs(now time.Time) []ETA {
 	if p.look == nil {
 		return nil
 	}
-	var out []Outlook
+	var out []ETA
 	places := p.storeEnds(now)
 	for _, name := range p.look.missing {
-		if in := p.outlook(now, name, places); in >= foretellFrom {
-			out = append(out, Outlook{name, in})
+		if in := p.eta(now, name, places); in >= leastETA {
+			out = append(out, ETA{name, in})
 		}
 	}
 	return out
 }
 
-// outlook returns the earliest time in which a model can be held; 0 if that is soon or
+// eta returns the earliest time in which a model can be held; 0 if that is soon or
 // cannot be told.
-func (p *Planner) outlook(now time.Time, name string, places []time.Duration) time.Duration {
+func (p *Planner) eta(now time.Time, name string, places []time.Duration) time.Duration {
 	if es := append(p.withCopy(name), p.look.loading[Want{Model: name}]...); len(es) > 0 {
 		return leastLeft(now, es)
 	}
@@ -146,32 +146,32 @@
 	return out
 }
 
-// moved reports whether an outlook differs from the moment foretold before by more than a
+// moved reports whether an ETA differs from the moment told before by more than a
 // tenth of the time until then, or half a second: what is told goes to all entries.
-func (o Outlook) moved(before, now time.Time) bool {
+func (o ETA) moved(before, now time.Time) bool {
 	at := now.Add(o.In)
 	by := at.Sub(before).Abs()
-	return by > max(outlookStep, o.In/10)
+	return by > max(etaStep, o.In/10)
 }
 
-// outlookStep is by how much a foretold moment must move to be told anew.
-const outlookStep = 500 * time.Millisecond
+// etaStep is by how much an ETA must move to be told anew.
+const etaStep = 500 * time.Millisecond
 
-// Foretell notes which outlooks entries are to be told of.
-func (p *Planner) Foretell(changed []Outlook) {
+// NoteETAs notes which ETAs entries are to be told of.
+func (p *Planner) NoteETAs(changed []ETA) {
 	for _, o := range changed {
 		if o.In > 0 {
-			p.foretold[o.Model] = true
+			p.newETAs[o.Model] = true
 		}
 	}
 }
 
-// Foretold keeps outlooks by the moments that they foretell.
-type Foretold map[string]time.Time
+// ETATable keeps ETAs by the moments that they stand for.
+type ETATable map[string]time.Time
 
-// Take takes in what is foretold now and returns what changed.
-func (f Foretold) Take(now time.Time, all []Outlook) []Outlook {
-	var changed []Outlook
+// Take takes in the present ETAs and returns what changed.
+func (f ETATable) Take(now time.Time, all []ETA) []ETA {
+	var changed []ETA
 	listed := make(map[string]bool, len(all))
 	for _, o := range all {
 		listed[o.Model] = true
@@ -183,7 +183,7 @@
 	for _, name := range slices.Sorted(maps.Keys(f)) {
 		if !listed[name] {
 			delete(f, name)
-			changed = append(changed, Outlook{Model: name})
+			changed = append(changed, ETA{Model: name})
 		}
 	}
 	return changed
--- a/internal/core/fleet/outlook_test.go
+++ b/internal/core/fleet/eta_test.go
@@ -29,9 +29,9 @@
 	s.p.Hear(s.now, "entry", ds, nil)
 }
 
-// in returns what is foretold for a model; 0 if nothing is.
+// in returns the ETA of a model; 0 if there is none.
 func (s *simulation) in(name string) time.Duration {
-	for _, o := range s.p.Outlooks(s.now) {
+	for _, o := range s.p.ETAs(s.now) {
 		if o.Model == name {
 			return o.In
 		}
@@ -43,7 +43,7 @@
 // and are refused then; those who come back wait as long again.
 // Sequence: models that lie on no disk are asked for while others take the store's places.
 // Cause: how long a request waits was a share of its time, whatever the leader knew.
-func TestLeaderForetellsWhenTheStoreBringsAModel(t *testing.T) {
+func TestLeaderEstimatesWhenTheStoreBringsAModel(t *testing.T) {
 	is := is.New(t)
 	s := bare(12, 20)
 	s.away("m0", "m1", "m2", "m3", "m4")
@@ -79,7 +79,7 @@
 // Symptom: callers are refused though their model would have come in half a second.
 // Sequence: the model lies on the disk of an engine with nothing to do, or with an unload
 // under way.
-func TestModelThatComesSoonIsNotForetold(t *testing.T) {
+func TestModelThatComesSoonHasNoETA(t *testing.T) {
 	is := is.New(t)
 	s := bare(6, 4)
 	s.engines["e00"].disk["m0"] = true
@@ -109,22 +109,22 @@
 	is.True(s.p.engines["e01"].order != nil && s.p.engines["e02"].order != nil)
 }
 
-// Symptom: each look at what is foretold goes to all entries.
+// Symptom: each look at the ETAs goes to all entries.
 // Sequence: nothing changes but the time; then a load takes longer than stated.
-func TestOnlyWhatIsForetoldAnewIsTold(t *testing.T) {
+func TestOnlyETAsThatMoveAreTold(t *testing.T) {
 	is := is.New(t)
-	f, now := Foretold{}, time.Unix(1e6, 0)
-	is.Equal(len(f.Take(now, []Outlook{{"a", 10 * time.Second}, {"b", 4 * time.Second}})), 2)
+	f, now := ETATable{}, time.Unix(1e6, 0)
+	is.Equal(len(f.Take(now, []ETA{{"a", 10 * time.Second}, {"b", 4 * time.Second}})), 2)
 	now = now.Add(time.Second)
-	is.Equal(len(f.Take(now, []Outlook{{"a", 9 * time.Second}, {"b", 3 * time.Second}})), 0)
-	is.Equal(f.Take(now, []Outlook{{"a", 9 * time.Second}, {"b", 6 * time.Second}}), []Outlook{{"b", 6 * time.Second}})
-	is.Equal(f.Take(now, []Outlook{{"a", 9 * time.Second}}), []Outlook{{Model: "b"}}) // nothing any more
-	is.Equal(len(f.Take(now, []Outlook{{"a", 9 * time.Second}})), 0)
+	is.Equal(len(f.Take(now, []ETA{{"a", 9 * time.Second}, {"b", 3 * time.Second}})), 0)
+	is.Equal(f.Take(now, []ETA{{"a", 9 * time.Second}, {"b", 6 * time.Second}}), []ETA{{"b", 6 * time.Second}})
+	is.Equal(f.Take(now, []ETA{{"a", 9 * time.Second}}), []ETA{{Model: "b"}}) // nothing any more
+	is.Equal(len(f.Take(now, []ETA{{"a", 9 * time.Second}})), 0)
 }
 
 // A refusal tells a time that comes true: not before the model is there, and spread, so that
 // those who were refused together do not return together.
-func TestCallersComeBackAfterTheForetoldTime(t *testing.T) {
+func TestCallersComeBackAfterTheETA(t *testing.T) {
 	is := is.New(t)
 	low := ComeBackAt(13*time.Second, func(int64) int64 { return 0 })
 	high := ComeBackAt(13*time.Second, func(n int64) int64 { return n - 1 })
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -100,7 +100,7 @@
 	copies   copyIndex
 	changed  bool // what entries know of the engines is out of date
 	stays    stays
-	foretold map[string]bool // models of which something was foretold since Awaited was called last
+	newETAs  map[string]bool // models with a new ETA since Awaited was called last
 	fresh    map[Want]bool   // what engines have come to hold since Awaited was called last
 	unsummed bool            // wants and the engines' runs lack what entries told last
 }
@@ -116,7 +116,7 @@
 func New(cfg Config) *Planner {
 	return &Planner{
 		cfg: cfg, store: storePace{atOnce: cfg.StoreAtOnce}, engines: map[EndpointID]*engine{}, models: map[string]*model{}, wants: map[Want]*demand{},
-		sources: map[string]map[Want]Demand{}, uses: map[string][]Use{}, copies: newCopyIndex(), fresh: map[Want]bool{}, foretold: map[string]bool{},
+		sources: map[string]map[Want]Demand{}, uses: map[string][]Use{}, copies: newCopyIndex(), fresh: map[Want]bool{}, newETAs: map[string]bool{},
 	}
 }
 
@@ -131,22 +131,22 @@
 }
 
 // Awaited returns the entries at which requests wait for what engines have come to hold,
-// or what was foretold anew, since the last call.
+// or for models with a new ETA, since the last call.
 func (p *Planner) Awaited() []string {
-	if len(p.fresh)+len(p.foretold) == 0 {
+	if len(p.fresh)+len(p.newETAs) == 0 {
 		return nil
 	}
 	var out []string
 	for entry, waiting := range p.sources {
 		for w := range waiting {
-			if p.fresh[w] || p.foretold[w.Model] {
+			if p.fresh[w] || p.newETAs[w.Model] {
 				out = append(out, entry)
 				break
 			}
 		}
 	}
 	clear(p.fresh)
-	clear(p.foretold)
+	clear(p.newETAs)
 	return out
 }
 
--- a/internal/core/fleet/wait.go
+++ b/internal/core/fleet/wait.go
@@ -43,14 +43,14 @@
 // once when to come back.
 func Comes(ready, hold time.Duration) bool { return ready <= hold }
 
-// foretoldSpread is the share of a foretold time over which those who were refused are
+// etaSpread is the share of an ETA over which those who were refused are
 // spread after it, so that they come neither too early nor together.
-const foretoldSpread = 0.1
+const etaSpread = 0.1
 
 // ComeBackAt returns after what time a caller should try again whose model is ready in
 // the given time at the earliest.
 func ComeBackAt(ready time.Duration, draw func(int64) int64) time.Duration {
-	spread := max(time.Duration(float64(ready)*foretoldSpread), comeBack/2)
+	spread := max(time.Duration(float64(ready)*etaSpread), comeBack/2)
 	return ready + time.Duration(draw(int64(spread)))
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -294,7 +294,7 @@
 	ListAge    time.Duration      `json:"listAge"`              // since the platform's list was read
 	ListUsual  time.Duration      `json:"listUsual"`            // how old it gets in the usual course
 	Running    json.RawMessage    `json:"running,omitempty"`    // requests under way, a map[fleet.EndpointID]int encoded once for all entries
-	Outlooks   []fleet.Outlook    `json:"outlooks,omitempty"`   // all, or with Delta those that changed
+	ETAs       []fleet.ETA        `json:"etas,omitempty"`       // all, or with Delta those that changed
 	Deployment []byte             `json:"deployment,omitempty"` // a state.Deployment, by Pack
 	Entries    int                `json:"entries"`              // entries heard lately
 }
