--- a/internal/core/fleet/eta.go
+++ b/internal/core/fleet/eta.go
@@ -146,16 +146,20 @@
 	return out
 }
 
-// moved reports whether an ETA differs from the moment told before by more than a
-// tenth of the time until then, or half a second: what is told goes to all entries.
+// moved reports whether an ETA differs from the moment told before by enough to tell all
+// entries again.
 func (o ETA) moved(before, now time.Time) bool {
 	at := now.Add(o.In)
 	by := at.Sub(before).Abs()
-	return by > max(etaStep, o.In/10)
+	return by > max(etaStep, o.In/etaPart)
 }
 
-// etaStep is by how much an ETA must move to be told anew.
-const etaStep = 500 * time.Millisecond
+// An ETA must move by etaStep, and by one part in etaPart of itself, to be told anew: the
+// later a model comes, the less a second matters to those who are told to come back.
+const (
+	etaStep = 500 * time.Millisecond
+	etaPart = 10
+)
 
 // NoteETAs notes which ETAs entries are to be told of.
 func (p *Planner) NoteETAs(changed []ETA) {
