Models of engines that may be back have no ETA

Read in the code: the models of an engine that crashed have no copy until it is back, 2 to 4 s later, with its disk; meanwhile the store's 13 s were told, and callers were refused who would have been served. Change: for 8 s after an engine was lost nothing is estimated for what lies on its disk; the shares of time hold. Test: no ETA while it may be back, one afterwards; fails without.

--- a/internal/core/fleet/eta.go
+++ b/internal/core/fleet/eta.go
@@ -21,6 +21,9 @@
 	// leastETA is the least time that is told. What comes sooner is waited for,
 	// and depends on what makes way.
 	leastETA = 2 * time.Second
+	// mayReturn is how long an engine that was lost may take to be back, with what lies on
+	// its disk: crashed ones start again within some seconds.
+	mayReturn = 8 * time.Second
 	// overdueMore is how much longer a load that is late already is thought to take, as
 	// a share of the time that it has taken.
 	overdueMore = 0.25
@@ -76,6 +79,9 @@
 // eta returns the earliest time in which a model can be held; 0 if that is soon or
 // cannot be told.
 func (p *Planner) eta(now time.Time, name string, places []time.Duration) time.Duration {
+	if now.Sub(p.lost[name]) < mayReturn {
+		return 0
+	}
 	if es := append(p.withCopy(name), p.look.loading[Want{Model: name}]...); len(es) > 0 {
 		return leastLeft(now, es)
 	}
@@ -88,6 +94,13 @@
 	return places[i%len(places)] + rounds*takes + takes
 }
 
+// noteLost notes what lies on the disk of an engine that is no longer listed.
+func (p *Planner) noteLost(now time.Time, e *engine) {
+	for name := range e.copies {
+		p.lost[name] = now
+	}
+}
+
 // leastLeft returns how long the order of the first engine to be free is under way.
 func leastLeft(now time.Time, es []*engine) time.Duration {
 	first := slices.MinFunc(es, func(a, b *engine) int { return cmp.Compare(a.left(now), b.left(now)) })
--- a/internal/core/fleet/eta_test.go
+++ b/internal/core/fleet/eta_test.go
@@ -90,6 +90,30 @@
 	is.Equal(s.in("m0"), time.Duration(0))
 }
 
+// Symptom: after a fifth of the engines has crashed callers are refused at once, with 13 s to
+// wait, for models that are served again in 4 s.
+// Sequence: an engine with the only copy of a model crashes and is no longer listed; it
+// starts again within seconds, and its disk is what it was.
+func TestModelOfAnEngineThatMayBeBackHasNoETA(t *testing.T) {
+	is := is.New(t)
+	s := bare(12, 8)
+	s.engines["e00"].disk["m0"] = true
+	s.run(15)
+	s.list()
+	s.away("m1", "m2", "m3") // they take the store's places
+	s.run(2)
+	is.Equal(s.p.store.under, 3)
+	delete(s.engines, "e00")
+	s.list()
+	s.away("m0", "m4")
+	s.p.Plan(s.now)
+	is.True(s.in("m4") > 11*time.Second)
+	is.Equal(s.in("m0"), time.Duration(0))
+	s.now = s.now.Add(mayReturn)
+	s.p.Plan(s.now)
+	is.True(s.in("m0") > 0) // it did not come back
+}
+
 // Symptom: all who ask for a dozen rare models are refused for 13 s.
 // Sequence: the engine whose disk holds the only copies of them is given a load from the
 // store, while others hold nothing that is not held elsewhere.
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -100,9 +100,10 @@
 	copies   copyIndex
 	changed  bool // what entries know of the engines is out of date
 	stays    stays
-	newETAs  map[string]bool // models with a new ETA since Awaited was called last
-	fresh    map[Want]bool   // what engines have come to hold since Awaited was called last
-	unsummed bool            // wants and the engines' runs lack what entries told last
+	lost     map[string]time.Time // models to when an engine with a copy was last lost
+	newETAs  map[string]bool      // models with a new ETA since Awaited was called last
+	fresh    map[Want]bool        // what engines have come to hold since Awaited was called last
+	unsummed bool                 // wants and the engines' runs lack what entries told last
 }
 
 // model is what is known of the demand for one model.
@@ -116,7 +117,7 @@
 func New(cfg Config) *Planner {
 	return &Planner{
 		cfg: cfg, store: storePace{atOnce: cfg.StoreAtOnce}, engines: map[EndpointID]*engine{}, models: map[string]*model{}, wants: map[Want]*demand{},
-		sources: map[string]map[Want]Demand{}, uses: map[string][]Use{}, copies: newCopyIndex(), fresh: map[Want]bool{}, newETAs: map[string]bool{},
+		sources: map[string]map[Want]Demand{}, uses: map[string][]Use{}, copies: newCopyIndex(), fresh: map[Want]bool{}, newETAs: map[string]bool{}, lost: map[string]time.Time{},
 	}
 }
 
@@ -194,6 +195,7 @@
 	}
 	for id, e := range p.engines {
 		if !listed[id] {
+			p.noteLost(now, e)
 			p.drop(e)
 		}
 	}
