--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -96,7 +96,7 @@
 	switch {
 	case holders > 0 && want.Adapter != "":
 		p.placeAdapter(now, want, w)
-	case holders == 0 && !p.copied(now, want.Model):
+	case holders == 0 && !p.cfg.ByUrgency && !p.copied(now, want.Model):
 		// It is fetched in the order of what is asked for most: fetchMissing.
 	case !coming:
 		p.place(now, want.Model, false, w) // none holds it, or every one that does is full
