Sight: whether an endpoint ended when its answer broke off, and what the request is

The logs of the record cannot tell which requests under one end are the same as those under another, since ids differ each time, nor whether a broken answer means an ended process: both are logged now (endpoint_broke_under: fingerprint, caller, ended), and counted (cassiapass_gateway_answers_broken_total). A dial that is refused tells an end; a closed connection does not. No change of logic.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/adapter/http1"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
+	"github.com/cassiapass/cassiapass/internal/core/fleet"
 )
 
 // result is how one attempt at an endpoint ended.
@@ -139,9 +140,19 @@
 		return result{outcome: abandon}
 	}
 	x.g.cfg.Log.Info().Str("request", x.ask.ID).Str("endpoint", string(e.ID)).Err(err).Msg("endpoint_" + event)
+	go x.noteEnd(e.ID, e.Addr)
 	return result{outcome: failed}
 }
 
+// noteEnd tells whether the endpoint ended with the request, and which other requests are
+// the same.
+func (x *exchange) noteEnd(id fleet.EndpointID, addr string) {
+	ended := x.g.ends.ended(id, addr)
+	x.g.met.broke(ended)
+	x.g.cfg.Log.Info().Str("request", x.ask.ID).Str("endpoint", string(id)).Stringer("fingerprint", x.fingerprint()).
+		Str("caller", x.c.Remote()).Bool("ended", ended).Msg("endpoint_broke_under")
+}
+
 // discard reads a short body to its end, so that the connection can be kept.
 func (x *exchange) discard(resp *http1.Response) {
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, wholeBody)); err != nil {
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/limit"
+	"github.com/cassiapass/cassiapass/internal/core/poison"
 )
 
 // errGone tells that the caller closed its connection.
@@ -135,6 +136,13 @@
 	}
 }
 
+// fingerprint names the request by all that an endpoint is given of it, but for what
+// differs each time that it comes.
+func (x *exchange) fingerprint() poison.Fingerprint {
+	var key poison.Key
+	return key.Fingerprint([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.Target), x.r.Body)
+}
+
 // retry takes one more send from the retry budget, which bounds what arrives at endpoints.
 // Sends that did not leave are no part of it: symptom otherwise, when a quarter of 180
 // engines crash at once, hundreds of requests are refused for the budget that dials to dead
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -49,6 +49,7 @@
 	pool     *http1.Pool
 	dir      *directory
 	demands  *demands
+	ends     *ends
 	sync     *syncer
 	met      *metrics
 	table    atomic.Pointer[deploy.Table]
@@ -84,7 +85,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		cfg: cfg, listener: l, pool: http1.NewPool(dialTimeout), dir: newDirectory(cfg.Zone, cfg.Log), demands: newDemands(),
+		cfg: cfg, listener: l, pool: http1.NewPool(dialTimeout), dir: newDirectory(cfg.Zone, cfg.Log), demands: newDemands(), ends: newEnds(),
 		begun: time.Now(), first: make(chan struct{}), ctx: ctx, cancel: cancel, conns: map[*http1.Conn]bool{}, budgets: map[string]*limit.Shared{},
 	}
 	g.pace.perToken = firstPace
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -59,6 +59,15 @@
 	m.set.GetOrCreateCounter(name).Inc()
 }
 
+// broke counts an answer that an endpoint broke off.
+func (m *metrics) broke(ended bool) {
+	name := `cassiapass_gateway_answers_broken_total{endpoint="alive"}`
+	if ended {
+		name = `cassiapass_gateway_answers_broken_total{endpoint="ended"}`
+	}
+	m.set.GetOrCreateCounter(name).Inc()
+}
+
 func (m *metrics) ended(outcome string, reason why, took, waited, first time.Duration) {
 	if outcome == "answered" {
 		reason = "" // what delayed it is in the histogram of waits
