--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -232,6 +232,8 @@
 	c.etas = fleet.ETATable{}
 	c.cfg.Log.Info().Uint64("term", term).Msg("fleet_duties_begun")
 	c.board.lead(term)
+	// An entry that begins is told with its first answer, before it takes a request in.
+	c.tellSuspects(now)
 }
 
 // act does what is due while leading.
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -231,12 +231,6 @@
 	return false
 }
 
-// chooser picks one of the endpoints that could take a request; -1 if there is none.
-type chooser func([]fleet.Candidate) int
-
-// chooseAny picks for a request of which nothing is known.
-func chooseAny(cands []fleet.Candidate) int { return fleet.Choose(cands, rand.IntN) }
-
 // leaving reports whether an endpoint is known to leave as planned.
 func (d *directory) leaving(e *endpoint) bool {
 	d.mu.Lock()
@@ -247,7 +241,7 @@
 // take picks an endpoint for a request and counts the request there. Without
 // one it returns the reason and a channel that closes when it is worth trying
 // again.
-func (d *directory) take(now time.Time, service string, want fleet.Want, tried map[fleet.EndpointID]bool, choose chooser) (*endpoint, why, <-chan struct{}) {
+func (d *directory) take(now time.Time, service string, want fleet.Want, tried map[fleet.EndpointID]bool) (*endpoint, why, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var eps []*endpoint
@@ -266,9 +260,9 @@
 			continue
 		}
 		eps = append(eps, e)
-		cands = append(cands, fleet.Candidate{ID: e.ID, Running: e.mine + e.others, Slots: e.slots(), SameZone: e.Zone == d.zone, Failing: e.failingAt(now)})
+		cands = append(cands, fleet.Candidate{Running: e.mine + e.others, Slots: e.slots(), SameZone: e.Zone == d.zone, Failing: e.failingAt(now)})
 	}
-	i := choose(cands)
+	i := fleet.Choose(cands, rand.IntN)
 	if i < 0 {
 		return nil, reason, d.changed
 	}
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -214,7 +214,7 @@
 		if x.standing().Quarantined {
 			return nil // told while it waited
 		}
-		e, reason, changed := x.g.dir.take(time.Now(), x.service, x.ask.Want, x.tried, x.chooser())
+		e, reason, changed := x.g.dir.take(time.Now(), x.service, x.ask.Want, x.tried)
 		if e != nil {
 			return e
 		}
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -35,14 +35,6 @@
 	return st
 }
 
-// chooser returns how the request's endpoint is chosen.
-func (x *exchange) chooser() chooser {
-	if !x.standing().Suspect() {
-		return chooseAny
-	}
-	return func(cands []fleet.Candidate) int { return fleet.ChooseApart(cands, x.print[:]) }
-}
-
 // noteBreak notes that an answer broke off, and whether the endpoint ended with it.
 func (x *exchange) noteBreak(e *endpoint) {
 	known := make(chan struct{})
--- a/internal/app/gateway/syncer_test.go
+++ b/internal/app/gateway/syncer_test.go
@@ -151,7 +151,7 @@
 	typical := func(model string) time.Duration {
 		var took []time.Duration
 		for range 9 {
-			e, _, _ := g.dir.take(time.Now(), "s", fleet.Want{Model: model}, nil, chooseAny)
+			e, _, _ := g.dir.take(time.Now(), "s", fleet.Want{Model: model}, nil)
 			if e == nil {
 				t.Fatal("none was taken")
 			}
--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -1,15 +1,7 @@
 package fleet
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-)
-
 // Candidate is an endpoint that could take a request now.
 type Candidate struct {
-	ID       EndpointID
 	Running  int  // requests under way there, from all entries, as far as known
 	Slots    int  // requests it runs at once; 0 if not known
 	SameZone bool // in the entry's own availability zone
@@ -54,26 +46,3 @@
 	}
 	return a
 }
-
-// ChooseApart returns the candidate for a request under which endpoints ended, or -1 if
-// there is none. It is one of the less busy half, as what runs there may end with it. Which
-// one depends on the request's name alone, so that of several suspects of one end each goes
-// to an endpoint of its own as far as there are enough, through whichever entries they come:
-// together again under the next end, they could not be told apart.
-func ChooseApart(cands []Candidate, name []byte) int {
-	order := make([]int, len(cands))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(cands[a].score(), cands[b].score()) })
-	best, weight := -1, uint64(0)
-	for _, i := range order[:(len(order)+1)/2] {
-		h := xxhash.New()
-		_, _ = h.Write(name) // never fails
-		_, _ = h.WriteString(string(cands[i].ID))
-		if w := h.Sum64(); best < 0 || w > weight {
-			best, weight = i, w
-		}
-	}
-	return best
-}
--- a/internal/core/poison/book.go
+++ b/internal/core/poison/book.go
@@ -88,9 +88,6 @@
 	Left        time.Duration // of the quarantine
 }
 
-// Suspect reports whether the request may be run, but apart from others.
-func (s Standing) Suspect() bool { return s.Ends > 0 && !s.Quarantined }
-
 // Standing returns a request's standing.
 func (b *Book) Standing(now time.Time, f Fingerprint) Standing {
 	c, known := b.cases[f]
--- a/internal/core/poison/doc.go
+++ b/internal/core/poison/doc.go
@@ -17,8 +17,6 @@
 //     under several ends when a zone fails: others like them are answered (Recent).
 //   - Time clears it too (CaseStays, QuarantineStays). After a quarantine the next run is on
 //     probation: one more end quarantines it again.
-//   - Until then a suspect goes where little else runs and, of several suspects, each to
-//     another endpoint (fleet.ChooseApart), so that the innocent of one end part ways.
 //
 // The leader gathers what entries saw (Book), tells all entries, and notes quarantines in the
 // replicated log (Registry), where they outlive every process.
