--- a/internal/app/control/http.go
+++ b/internal/app/control/http.go
@@ -70,6 +70,8 @@
 	g.GET("/explain/:target", c.httpExplain)
 	g.GET("/status", func(x echo.Context) error { return x.JSON(http.StatusOK, c.ControlStatus()) })
 	g.POST("/members", c.httpMember)
+	g.GET("/quarantine", c.ServeQuarantine)
+	g.DELETE("/quarantine/:fingerprint", c.ServeLift)
 }
 
 // authorize compares the operator's token in constant time.
--- a/internal/app/control/poison.go
+++ b/internal/app/control/poison.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
 
 	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/state"
@@ -30,3 +33,25 @@
 	l.toldPoison = r
 	l.onPoison(r)
 }
+
+// QuarantinePath is where operators list and lift quarantined requests. The fingerprint
+// follows it for a lift.
+const QuarantinePath = "/v1/quarantine"
+
+// ServeQuarantine answers an operator with the quarantined requests: a []poison.Case.
+func (c *Control) ServeQuarantine(x echo.Context) error {
+	cases := []poison.Case{}
+	if err := c.current(x, func(s *state.State) { cases = append(cases, s.Poison().Cases...) }); err != nil {
+		return nil
+	}
+	return x.JSON(http.StatusOK, cases)
+}
+
+// ServeLift lets a quarantined request run again, on an operator's word.
+func (c *Control) ServeLift(x echo.Context) error {
+	f, err := poison.Parse(x.Param("fingerprint"))
+	if err != nil {
+		return x.JSON(http.StatusBadRequest, Failure{Code: string(state.Invalid), Message: err.Error()})
+	}
+	return c.decide(x, state.Command{By: operator(x), Poison: &poison.Note{Lift: []poison.Fingerprint{f}}})
+}
