--- a/internal/core/deploy/deploy.go
+++ b/internal/core/deploy/deploy.go
@@ -67,6 +67,7 @@
 	KVTokens      int     // tokens that fit its memory for running requests
 	Weights       int64   // megabytes for weights and adapters together
 	AdapterPlaces int     // adapters that an endpoint holds at once
+	EventTokens   int     // tokens that one event of a stream holds; 0 if not told
 	StoreLoads    float64 // loads a second from the weight store, over all endpoints
 	Models        map[string]*Model
 }
