Requests that end engines behind agents are counted in the log and refused at all entries

An agent now tells the entry when nobody takes a resume at the place of the process that ran the attempt (End.Ended names that start; all that broke off with it have one name); the entry notes it in the log with the request's fingerprint, the log counts by the state's own time, and subscribers learn of quarantines as of any change. Not counted: an agent that dies with its engine, or falls silent; its host may have failed. A whole answer at an entry that noted the end, or that answered the same lately, clears.

--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -87,21 +87,23 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 
-	mu         sync.Mutex
-	ledger     *ledger.Ledger
-	queue      *admission.Queue
-	runs       map[ident.Attempt]*run
-	barred     map[ident.Attempt]time.Time
-	decided    map[ident.Index]bool // replicas known from control
-	registered bool
-	listed     bool // the registration was seen in the view
-	leaving    bool
-	used       map[ident.Index]time.Time
-	cached     map[ident.Target]placement.Source
-	toReport   placement.Report // what the next beat tells beside the load
-	cachedAt   time.Time
-	events     []ledger.Event // to be committed, in order; at most two per replica decided
-	newEvent   chan struct{}
+	mu     sync.Mutex
+	ledger *ledger.Ledger
+	queue  *admission.Queue
+	runs   map[ident.Attempt]*run
+	barred map[ident.Attempt]time.Time
+	// backendEnds counts the ends of the engine or service that were noticed here.
+	backendEnds int
+	decided     map[ident.Index]bool // replicas known from control
+	registered  bool
+	listed      bool // the registration was seen in the view
+	leaving     bool
+	used        map[ident.Index]time.Time
+	cached      map[ident.Target]placement.Source
+	toReport    placement.Report // what the next beat tells beside the load
+	cachedAt    time.Time
+	events      []ledger.Event // to be committed, in order; at most two per replica decided
+	newEvent    chan struct{}
 }
 
 // New starts an agent.
--- a/internal/app/agent/runs.go
+++ b/internal/app/agent/runs.go
@@ -106,11 +106,13 @@
 func (a *Agent) callBackend(r *run) wire.End {
 	p := r.params
 	id := p.Attempt.String()
+	start := a.backendStart()
 	res, err := a.backend.Run(r.ctx, port.Call{ID: id, Method: p.Method, Path: p.Path, ContentType: p.ContentType, Body: p.Body})
 	if errors.Is(err, port.ErrNotSent) {
 		a.suspect()
 		return wire.End{State: wire.RunNotRun, Reason: "the engine could not be reached"}
 	}
+	ended := "" // the start that ran the attempt, once nobody takes a resume
 	for try := 0; ; try++ {
 		if err == nil {
 			if err = a.copyAnswer(r, res); err == nil {
@@ -118,7 +120,7 @@
 			}
 		}
 		if r.ctx.Err() != nil || try >= resumeTries {
-			return wire.End{State: wire.RunUnknown, Reason: reasonOf(r.ctx, err)}
+			return wire.End{State: wire.RunUnknown, Reason: reasonOf(r.ctx, err), Ended: ended}
 		}
 		if errors.Is(err, port.ErrCrossed) {
 			a.met.crossed.Inc()
@@ -128,7 +130,10 @@
 		a.met.resumes.Inc()
 		res, err = a.backend.Resume(r.ctx, id, a.offset(r))
 		if errors.Is(err, port.ErrRefused) {
-			return wire.End{State: wire.RunUnknown, Reason: "the engine cannot resume the answer"}
+			return wire.End{State: wire.RunUnknown, Reason: "the engine cannot resume the answer", Ended: ended}
+		}
+		if errors.Is(err, port.ErrNotSent) && ended == "" {
+			ended = a.backendEnded(start)
 		}
 	}
 }
--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -226,6 +226,9 @@
 		for _, r := range st.Replicas() {
 			out = append(out, state.Change{Index: r.Revision, Replica: &r})
 		}
+		if reg := st.Poison(); len(reg.Key) > 0 {
+			out = append(out, state.Change{Index: index, Poison: &reg})
+		}
 	})
 	return index, out, err
 }
--- a/internal/app/control/handlers.go
+++ b/internal/app/control/handlers.go
@@ -166,15 +166,17 @@
 	return c.Propose(ctx, state.Command{By: "claim", Open: p.Open, Settle: p.Settle})
 }
 
-// onCommit decides a command of an agent: its registration or the state of one
-// of its replicas. Anything else comes from operators or from control itself.
+// onCommit decides a command of an agent: its registration or the state of one of its
+// replicas; or of an entry: what it saw of requests under which endpoints ended. Anything
+// else comes from operators or from control itself.
 func (c *Control) onCommit(ctx context.Context, raw json.RawMessage) (any, error) {
 	p, err := decode[wire.ProposeParams](raw)
 	if err != nil {
 		return nil, err
 	}
-	if p.Command.Endpoint == nil && p.Command.Replica == nil {
-		return nil, fmt.Errorf("agents may register and report replicas, nothing else")
+	seen := p.Command.Poison
+	if p.Command.Endpoint == nil && p.Command.Replica == nil && (seen == nil || len(seen.Add)+len(seen.Lift) > 0) {
+		return nil, fmt.Errorf("agents may register and report replicas, entries tell what they saw of requests, nothing else")
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
--- a/internal/app/entry/attempt.go
+++ b/internal/app/entry/attempt.go
@@ -30,6 +30,7 @@
 	retryAfter time.Duration
 	records    []state.Record
 	unsent     bool     // nothing reached the endpoint
+	ended      string   // the start of the engine that ended while it ran this; "" if none did
 	final      *refusal // the job ends with this, whatever the state
 }
 
@@ -246,7 +247,7 @@
 		if end.State == wire.RunUnknown {
 			e.withTable(func() { e.table.Failed(time.Now(), f.ep.Host) })
 		}
-		return verdict{state: end.State, reason: end.Reason}, true
+		return verdict{state: end.State, reason: end.Reason, ended: end.Ended}, true
 	}
 	e.withTable(func() { e.table.Succeeded(f.ep.Host) })
 	if err := f.job.sink.finish(); err != nil {
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -66,6 +66,8 @@
 	pool     *pool
 	rooms    *rooms
 	recent   *recent
+	seen     *seen
+	stopSeen context.CancelFunc
 	prefix   string // of request ids, new at each start
 	nextID   atomic.Uint64
 	stopping atomic.Bool
@@ -122,7 +124,7 @@
 		cfg.Incarnation = ident.Incarnation(time.Now().UnixNano())
 	}
 	e := &Entry{
-		cfg: cfg, count: &rpc.Counter{}, recent: newRecent(), cut: make(chan struct{}),
+		cfg: cfg, count: &rpc.Counter{}, recent: newRecent(), seen: newSeen(), cut: make(chan struct{}),
 		table:  routing.New(routing.DefaultConfig(cfg.Zone, rand.IntN)),
 		budget: limit.NewBudget(cfg.RetryShare, cfg.RetryBurst),
 		rates:  limit.NewRates(cfg.RateBurst),
@@ -139,6 +141,9 @@
 	})
 	e.follower.Start()
 	go e.rooms.run()
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stopSeen = cancel
+	go e.noteSeen(ctx)
 	cfg.Log.Info().Uint64("incarnation", uint64(cfg.Incarnation)).Str("zone", string(cfg.Zone)).Msg("entry_started")
 	return e
 }
@@ -162,6 +167,7 @@
 		}
 	})
 	e.mu.Unlock()
+	e.seen.object(time.Now(), e.registry())
 	e.rooms.wake()
 }
 
@@ -198,6 +204,7 @@
 	e.stopping.Store(true)
 	e.cutOnce.Do(func() { close(e.cut) })
 	e.rooms.stop()
+	e.stopSeen()
 	e.follower.Stop()
 	e.pool.close()
 	e.cfg.Log.Info().Msg("entry_stopped")
--- a/internal/app/entry/job.go
+++ b/internal/app/entry/job.go
@@ -37,6 +37,7 @@
 	retries   int
 	stale     int // times refused for an old configuration
 	tried     []ident.HostID
+	ran       bool // it may have run
 	busyUntil map[ident.HostID]time.Time
 	noRoom    time.Time // since when control sees no room for the target
 	trace     []Try
@@ -70,6 +71,12 @@
 func (e *Entry) run(ctx context.Context, j *job) *refusal {
 	e.withTable(func() { e.budget.Request() })
 	for {
+		if ref := e.quarantined(j); ref != nil {
+			if j.ran {
+				return unknown("outcome_unknown", "an engine ended while it ran the request, and it is not run again")
+			}
+			return ref
+		}
 		c, ep, ok := e.pick(j)
 		if !ok {
 			if ref := e.await(ctx, j); ref != nil {
@@ -79,6 +86,8 @@
 		}
 		v := e.attempt(ctx, j, c, ep)
 		j.trace = append(j.trace, Try{Host: c.Host, State: v.state, Reason: v.reason})
+		j.ran = j.ran || v.state == wire.RunUnknown
+		e.learn(j, v)
 		if v.final != nil {
 			return v.final
 		}
--- a/internal/core/poison/book.go
+++ b/internal/core/poison/book.go
@@ -33,8 +33,7 @@
 	Starts []string `json:"starts,omitempty"`
 	// Quarantined tells since when it is refused; zero if it is not.
 	Quarantined time.Time `json:"quarantined,omitzero"`
-
-	at time.Time // of the newest end
+	At          time.Time `json:"at,omitzero"` // of the newest end
 }
 
 // Book keeps the cases that one process knows of. It is not safe for concurrent use.
@@ -58,7 +57,7 @@
 	if slices.Contains(c.Starts, e.Start) {
 		return false, false
 	}
-	c.Starts, c.at = append(c.Starts, e.Start), now
+	c.Starts, c.At = append(c.Starts, e.Start), now
 	if len(c.Starts) < EndsToQuarantine || !c.Quarantined.IsZero() {
 		return true, false
 	}
@@ -77,10 +76,13 @@
 // Restore takes in a quarantine that was decided before, perhaps on another host. Its time
 // begins anew: that of another host's clock says nothing here.
 func (b *Book) Restore(now time.Time, c Case) {
-	c.Quarantined, c.at = now, now
+	c.Quarantined, c.At = now, now
 	b.cases[c.Request] = &c
 }
 
+// Put takes in a case as it is, of a Book that was stored.
+func (b *Book) Put(c Case) { b.cases[c.Request] = &c }
+
 // Standing is how a request is to be treated.
 type Standing struct {
 	Ends        int           // starts that ended under it
@@ -106,10 +108,10 @@
 // the request one end short of the next one.
 func (b *Book) lapse(now time.Time, c *Case) {
 	switch {
-	case c.Quarantined.IsZero() && now.Sub(c.at) > CaseStays:
+	case c.Quarantined.IsZero() && now.Sub(c.At) > CaseStays:
 		c.Starts = nil
 	case !c.Quarantined.IsZero() && now.Sub(c.Quarantined) >= QuarantineStays:
-		c.Quarantined, c.at = time.Time{}, now
+		c.Quarantined, c.At = time.Time{}, now
 		c.Starts = slices.Clone(c.Starts[max(0, len(c.Starts)-EndsToQuarantine+1):])
 	}
 }
@@ -149,7 +151,7 @@
 	slices.SortFunc(out, func(x, y Case) int {
 		return cmp.Or(
 			cmp.Compare(len(y.Starts), len(x.Starts)),
-			y.at.Compare(x.at),
+			y.At.Compare(x.At),
 			slices.Compare(x.Request[:], y.Request[:]),
 		)
 	})
--- a/internal/core/poison/registry.go
+++ b/internal/core/poison/registry.go
@@ -12,11 +12,16 @@
 	Cases []Case `json:"cases,omitempty"` // oldest first
 }
 
-// Note is one change of a Registry.
+// Note is one change of a Registry. Where the leader keeps a Docket, it decides and notes
+// what is quarantined. Where entries speak to the group through whichever host they are
+// subscribed to, they note what they see, and the log counts.
 type Note struct {
 	Key  Key           `json:"key,omitempty"`  // taken if there is none yet
 	Add  []Case        `json:"add,omitempty"`  // quarantined
 	Lift []Fingerprint `json:"lift,omitempty"` // not quarantined any more
+
+	Ends     []End         `json:"ends,omitempty"`     // seen
+	Answered []Fingerprint `json:"answered,omitempty"` // whole, though ends were seen
 }
 
 // Next returns the registry after a note. The first key stays: fingerprints made with
--- a/internal/core/state/claims.go
+++ b/internal/core/state/claims.go
@@ -85,5 +85,6 @@
 		}
 		delete(s.expiry, m)
 	}
+	s.lapsePoison()
 	return Result{Code: OK}
 }
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -41,6 +41,7 @@
 	deployed Deployment
 	holder   holder.Record
 	poison   poison.Registry
+	suspects *poison.Book // requests under which endpoints ended, as entries noted
 
 	changes []Change // of the command being applied
 }
@@ -70,7 +71,7 @@
 		where: map[spot]ident.Index{}, byHost: map[ident.HostID][]ident.Index{},
 		used: map[ident.HostID]int64{}, byTarget: map[ident.Target][]ident.Index{}, stated: map[ident.Target]Statement{},
 		claims: map[ClaimKey]Claim{}, expiry: map[int64][]ClaimKey{}, open: map[ClaimKey]struct{}{},
-		history: keepalive.NewHistory(),
+		history: keepalive.NewHistory(), suspects: poison.NewBook(),
 	}
 }
 
@@ -174,12 +175,13 @@
 	Deployed  *Deployment             `json:"deployed,omitempty"`
 	Holder    holder.Record           `json:"holder,omitzero"`
 	Poison    poison.Registry         `json:"poison,omitzero"`
+	Suspects  []poison.Case           `json:"suspects,omitempty"`
 }
 
 // Encode returns the state in the form that Decode reads.
 func (s *State) Encode() ([]byte, error) {
 	im := image{Index: s.index, Config: s.config, Now: s.now, Records: s.Records(), Results: s.results,
-		Endpoints: s.Endpoints(), Replicas: s.Replicas(), Audit: s.audit, History: s.history, Holder: s.holder, Poison: s.poison}
+		Endpoints: s.Endpoints(), Replicas: s.Replicas(), Audit: s.audit, History: s.history, Holder: s.holder, Poison: s.poison, Suspects: s.suspects.Cases()}
 	if s.deployed.Version != 0 {
 		im.Deployed = &s.deployed
 	}
@@ -200,6 +202,9 @@
 		return nil, oops.Wrapf(err, "decode state")
 	}
 	s.index, s.config, s.now, s.audit, s.holder, s.poison = im.Index, im.Config, im.Now, im.Audit, im.Holder, im.Poison
+	for _, c := range im.Suspects {
+		s.suspects.Put(c)
+	}
 	if im.Results != nil {
 		s.results = im.Results
 	}
--- a/internal/core/state/types.go
+++ b/internal/core/state/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/record"
 )
 
@@ -144,4 +145,6 @@
 	Replica  *Replica     `json:"replica,omitempty"`
 	Removed  ident.Index  `json:"removed,omitempty"` // replica that was removed
 	Host     ident.HostID `json:"host,omitempty"`    // where the removed replica was
+	// Poison is all that is to be known of quarantined requests.
+	Poison *poison.Registry `json:"poison,omitempty"`
 }
--- a/internal/core/view/view.go
+++ b/internal/core/view/view.go
@@ -10,6 +10,7 @@
 	"fmt"
 
 	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/record"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 )
@@ -23,6 +24,7 @@
 	endpoints map[ident.HostID]state.Endpoint
 	replicas  map[ident.Index]state.Replica
 	byTarget  map[ident.Target]map[ident.Index]struct{}
+	poison    poison.Registry
 }
 
 // New returns an empty View.
@@ -38,6 +40,7 @@
 	v.endpoints = map[ident.HostID]state.Endpoint{}
 	v.replicas = map[ident.Index]state.Replica{}
 	v.byTarget = map[ident.Target]map[ident.Index]struct{}{}
+	v.poison = poison.Registry{}
 }
 
 // Index returns the index up to which everything is taken in.
@@ -113,6 +116,8 @@
 		v.putReplica(*c.Replica)
 	case c.Removed != 0:
 		v.dropReplica(c.Removed)
+	case c.Poison != nil:
+		v.poison = *c.Poison
 	}
 	return nil
 }
@@ -187,6 +192,10 @@
 	return e, ok
 }
 
+// Poison returns the requests that are quarantined, and the key of their fingerprints. The
+// caller only reads it.
+func (v *View) Poison() poison.Registry { return v.poison }
+
 // Endpoints returns all endpoints. The caller only reads them.
 func (v *View) Endpoints() map[ident.HostID]state.Endpoint { return v.endpoints }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -242,6 +242,9 @@
 	State   RunState      `json:"state"` // accepted: the answer is whole
 	Reason  string        `json:"reason,omitempty"`
 	Load    routing.Load  `json:"load"`
+	// Ended names the start of the engine or service that ended while it ran the attempt;
+	// "" if it goes on, or that is not known.
+	Ended string `json:"ended,omitempty"`
 }
 
 // MemberParams changes the membership of the control group.
