The controller's docket never blocks the control host's loop, and is looked through when it changed

Read, not seen: a change of the quarantines was posted to the controller's loop from the control host's, which the controller's waits for now and then; with 1,024 events waiting, neither would have gone on. What is due for the log was worked out at each plan.

--- a/internal/app/controller/suspects.go
+++ b/internal/app/controller/suspects.go
@@ -10,21 +10,26 @@
 	"github.com/cassiapass/cassiapass/internal/wire"
 )
 
+// sweepEvery is how often it is looked for quarantines that are over.
+const sweepEvery = time.Second
+
 // docket is what this leader knows of requests under which endpoints ended.
 type docket struct {
 	*poison.Docket
 	reg    poison.Registry // as the log has it
 	rev    uint64          // of what entries are told
 	news   bool            // entries have not been told of all
+	due    bool            // the log may differ from what is known here
 	noting bool            // a note is under way
 	tried  time.Time
 	told   time.Time // when entries were told last
+	swept  time.Time // when what is over was looked for last
 }
 
 // beginDocket takes up what the log says. What else the leader before knew, entries tell.
 func (c *Controller) beginDocket(now time.Time) {
 	reg := c.lead.Poison()
-	c.docket = docket{Docket: poison.NewDocket(now, reg), reg: reg, news: true}
+	c.docket = docket{Docket: poison.NewDocket(now, reg), reg: reg, news: true, due: true}
 }
 
 // hearEnds takes in what an entry saw of requests under which endpoints ended.
@@ -36,7 +41,7 @@
 	for _, f := range answered {
 		was := d.Standing(now, f)
 		if d.Clear(now, f) {
-			d.news, urgent = true, urgent || was.Quarantined
+			d.news, d.due, urgent = true, d.due || was.Quarantined, urgent || was.Quarantined
 			c.cfg.Log.Info().Stringer("fingerprint", f).Str("entry", string(host)).Int("ends", was.Ends).Bool("quarantined", was.Quarantined).Msg("request_cleared")
 		}
 	}
@@ -46,7 +51,7 @@
 			continue
 		}
 		st := d.Standing(now, e.Request)
-		d.news, urgent = true, urgent || st.Ends > 1
+		d.news, d.due, urgent = true, d.due || quarantined, urgent || st.Ends > 1
 		c.cfg.Log.Info().Stringer("fingerprint", e.Request).Str("endpoint", e.Start).Str("entry", string(host)).Int("ends", st.Ends).Msg("endpoint_ended_under_request")
 		if quarantined {
 			c.met.quarantined()
@@ -75,10 +80,13 @@
 // the key with which all entries name requests.
 func (c *Controller) keepDocket(now time.Time) {
 	d := &c.docket
-	if len(d.Sweep(now)) > 0 {
-		d.news = true
+	if now.Sub(d.swept) >= sweepEvery {
+		d.swept = now
+		if len(d.Sweep(now)) > 0 {
+			d.news, d.due = true, true
+		}
 	}
-	if d.noting || now.Sub(d.tried) < noteAgain {
+	if !d.due || d.noting || now.Sub(d.tried) < noteAgain {
 		return
 	}
 	n, due := d.Due(d.reg)
@@ -86,6 +94,7 @@
 		n.Key, due = make(poison.Key, poison.KeySize), true
 		_, _ = rand.Read(n.Key) // never fails
 	}
+	d.due = due
 	if !due {
 		return
 	}
@@ -100,22 +109,22 @@
 	if err != nil {
 		c.cfg.Log.Warn().Uint64("term", term).Int("quarantined", len(n.Add)).Int("lifted", len(n.Lift)).Err(err).Msg("quarantine_not_noted")
 	}
-	reg := c.lead.Poison()
 	c.post(func(now time.Time) {
 		if c.term != term {
 			return
 		}
 		c.docket.noting = false
-		c.takeRegistry(now, reg)
+		c.takeRegistry(now, c.lead.Poison())
 	})
 }
 
-// Quarantined takes in a change of the quarantined requests that came into force on this
-// host: an operator may have lifted one.
-func (c *Controller) Quarantined(reg poison.Registry) {
-	c.post(func(now time.Time) {
+// Quarantined takes in that the quarantined requests changed on this host: an operator may
+// have lifted one. It does not block: the caller is the loop of the control host, which the
+// loop here waits for now and then.
+func (c *Controller) Quarantined(poison.Registry) {
+	go c.post(func(now time.Time) {
 		if c.term != 0 {
-			c.takeRegistry(now, reg)
+			c.takeRegistry(now, c.lead.Poison()) // the newest, whichever change this is
 		}
 	})
 }
