Endpoints' names are not written while requests read them; tests of what counts as an end

Race detector, found by the test of an endpoint that is told to leave while a request runs there: the directory replaced a start's id, address and zone by the same ones, under its lock, while the exchange read them without. What changes of a start is written alone now.

Tests: what a broken answer counts for (a living, an ended, a leaving endpoint, one that the list drops), one of many alike, a new leader, a request that waits while it is quarantined.

--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -115,7 +115,8 @@
 		e.Leaving = ep.Leaving
 		return
 	}
-	e.Endpoint = ep
+	// What names a start stays as it is: requests under way read it without the lock.
+	e.Born, e.Slots, e.Leaving, e.Held, e.Copies = ep.Born, ep.Slots, ep.Leaving, ep.Held, ep.Copies
 	clear(e.lacks)
 }
 
