Ends that come together count once for entries that just started; a model is not blamed for a request

Read: an entry that has just started remembers no answers. After a kill of all processes three endpoints that fail together would have quarantined look-ups that are all alike, and as none is answered any more nothing would have cleared them. Such entries say so (End.Cold), and their ends within 0.5 s count as one.

What entries sent to an engine now shows that the load was done, also when told after its end (Forgive), and a load's quarantine lasts a minute.

Gauges of suspect and quarantined requests by entry.

--- a/internal/app/entry/poison.go
+++ b/internal/app/entry/poison.go
@@ -35,7 +35,7 @@
 }
 
 func newSeen() *seen {
-	return &seen{answered: poison.NewRecent(), under: poison.NewBook(), wake: make(chan struct{}, 1)}
+	return &seen{answered: poison.NewRecent(time.Now()), under: poison.NewBook(), wake: make(chan struct{}, 1)}
 }
 
 // ended notes that an engine ended under a request. One of many alike, of which others were
@@ -43,7 +43,7 @@
 func (s *seen) ended(now time.Time, f poison.Fingerprint, start string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := poison.End{Request: f, Start: start}
+	e := poison.End{Request: f, Start: start, Cold: s.answered.Cold(now)}
 	if s.answered.Has(now, f) {
 		return
 	}
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -40,6 +40,8 @@
 	s.NewGauge("cassiapass_gateway_endpoints", func() float64 { return float64(g.dir.count()) })
 	s.NewGauge("cassiapass_gateway_entries_known", func() float64 { return float64(g.entries.Load()) })
 	s.NewGauge("cassiapass_gateway_retry_budget_left", g.budgetLeft)
+	s.NewGauge("cassiapass_gateway_requests_suspect", func() float64 { n, _ := g.suspects.count(time.Now()); return float64(n) })
+	s.NewGauge("cassiapass_gateway_requests_quarantined", func() float64 { _, n := g.suspects.count(time.Now()); return float64(n) })
 	opshttp.CountBytes(s, &m.rpc)
 	return m
 }
--- a/internal/app/gateway/suspects.go
+++ b/internal/app/gateway/suspects.go
@@ -48,7 +48,7 @@
 }
 
 func newSuspects() *suspects {
-	return &suspects{own: poison.NewBook(), answered: poison.NewRecent(), told: map[poison.Fingerprint]toldCase{},
+	return &suspects{own: poison.NewBook(), answered: poison.NewRecent(time.Now()), told: map[poison.Fingerprint]toldCase{},
 		open: map[fleet.EndpointID][]openRun{}, urgent: make(chan struct{}, 1)}
 }
 
@@ -89,7 +89,7 @@
 	if s.answered.Has(now, f) {
 		return
 	}
-	e := poison.End{Request: f, Start: string(start)}
+	e := poison.End{Request: f, Start: string(start), Cold: s.answered.Cold(now)}
 	if news, _ := s.own.Ended(now, e); !news {
 		return
 	}
@@ -151,7 +151,7 @@
 	defer s.mu.Unlock()
 	if string(s.key) != string(n.Key) {
 		// What another key named is nothing that can be met again.
-		s.key, s.own, s.answered = n.Key, poison.NewBook(), poison.NewRecent()
+		s.key, s.own, s.answered = n.Key, poison.NewBook(), poison.NewRecent(now)
 		s.open, s.ends, s.cleared = map[fleet.EndpointID][]openRun{}, nil, nil
 	}
 	if n.Mark.Term != s.mark.Term {
@@ -184,7 +184,7 @@
 
 // tell returns what has to be told: on a new connection, or to a new leader, all that was
 // seen here, as what was told last may be lost.
-func (s *suspects) tell(again bool) ([]poison.End, []poison.Fingerprint) {
+func (s *suspects) tell(now time.Time, again bool) ([]poison.End, []poison.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ends, cleared := s.ends, s.cleared
@@ -192,7 +192,7 @@
 		ends = nil
 		for _, c := range s.own.Cases() {
 			for _, start := range c.Starts {
-				ends = append(ends, poison.End{Request: c.Request, Start: start})
+				ends = append(ends, poison.End{Request: c.Request, Start: start, Cold: s.answered.Cold(now)})
 			}
 		}
 	}
--- a/internal/app/gateway/syncer.go
+++ b/internal/app/gateway/syncer.go
@@ -344,7 +344,7 @@
 		return // what waits is told again when there is a leader
 	}
 	p := wire.TellParams{Host: s.g.cfg.Host, Demands: s.g.demands.tell(time.Now()), Uses: s.g.dir.uses()}
-	p.Ends, p.Answered = s.g.suspects.tell(s.told != conn)
+	p.Ends, p.Answered = s.g.suspects.tell(time.Now(), s.told != conn)
 	s.told = conn
 	quiet := len(p.Demands)+len(p.Uses)+len(p.Ends)+len(p.Answered) == 0
 	if quiet && s.quiet == conn {
--- a/internal/core/fleet/deadly.go
+++ b/internal/core/fleet/deadly.go
@@ -11,6 +11,11 @@
 // the load: the list shows a dead engine for some seconds more.
 const loadBlame = 6 * time.Second
 
+// loadStays is how long a model or adapter is not loaded when engines ended under its loads.
+// It is short beside a request's quarantine: one more engine a minute is what a wrong guess
+// the other way may cost, and a model that is not loaded is refused to all who ask for it.
+const loadStays = time.Minute
+
 // lastLoad is the newest load that an engine was ordered.
 type lastLoad struct {
 	want  Want
@@ -52,6 +57,23 @@
 	}
 }
 
+// noteUsed takes in that requests were sent to a start of an engine for what it was ordered to
+// load, and that it did not say that it lacks it: the load had ended well, whatever came then.
+// Symptom without it: a request that ends engines is sent to each as soon as its model is
+// loaded, before any report; the model is blamed, and all who ask for it are refused.
+func (p *Planner) noteUsed(u Use) {
+	if u.Missing || u.Running+u.Begun == 0 {
+		return
+	}
+	e, known := p.engines[u.Endpoint]
+	switch {
+	case !known && p.deadly.Len() > 0:
+		p.deadly.Forgive(string(u.Endpoint))
+	case known && e.loaded.want.Model == u.Want.Model && (e.loaded.want.Adapter == "" || e.loaded.want == u.Want):
+		e.loaded = lastLoad{}
+	}
+}
+
 // mayLoad reports whether a load has not ended too many engines.
 func (p *Planner) mayLoad(now time.Time, w Want) bool {
 	return p.deadly.Len() == 0 || !p.deadly.Standing(now, w.print()).Quarantined
--- a/internal/core/fleet/deadly_test.go
+++ b/internal/core/fleet/deadly_test.go
@@ -58,3 +58,26 @@
 	}
 	is.True(p.mayLoad(now, Want{Model: "m"}))
 }
+
+// Symptom: a model is not loaded any more, and all who ask for it are refused.
+// Sequence: a request ends each engine as soon as that holds its model, before any report.
+// Cause: the ends came within some moments of a load and were counted against it.
+func TestModelIsNotBlamedForWhatARequestDid(t *testing.T) {
+	is := is.New(t)
+	p := New(DefaultConfig())
+	now := time.Unix(1e6, 0)
+	want := Want{Model: "m"}
+	for i := range 6 {
+		e := newEngine(Endpoint{ID: EndpointID(fmt.Sprint("e", i))}, now)
+		p.engines[e.ep.ID] = e
+		e.loaded = lastLoad{want, now.Add(loadBlame)}
+		use := []Use{{Endpoint: e.ep.ID, Want: want, Begun: 1}}
+		if i%2 == 0 { // told before its end is noticed, and after
+			p.Hear(now, "entry", nil, use)
+		}
+		p.noteEnd(now, e)
+		p.drop(e)
+		p.Hear(now, "entry", nil, use)
+		is.True(p.mayLoad(now, want))
+	}
+}
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -124,7 +124,7 @@
 func New(cfg Config) *Planner {
 	return &Planner{
 		cfg: cfg, store: storePace{atOnce: cfg.StoreAtOnce}, engines: map[EndpointID]*engine{}, models: map[string]*model{}, wants: map[Want]*demand{},
-		sources: map[string]map[Want]Demand{}, uses: map[string][]Use{}, copies: newCopyIndex(), fresh: map[Want]bool{}, newETAs: map[string]bool{}, lost: map[string]time.Time{}, deadly: poison.NewBook(),
+		sources: map[string]map[Want]Demand{}, uses: map[string][]Use{}, copies: newCopyIndex(), fresh: map[Want]bool{}, newETAs: map[string]bool{}, lost: map[string]time.Time{}, deadly: poison.NewBookFor(loadStays),
 	}
 }
 
@@ -247,6 +247,7 @@
 	p.sources[entry] = waiting
 	p.uses[entry] = uses
 	for _, u := range uses {
+		p.noteUsed(u)
 		e, known := p.engines[u.Endpoint]
 		if !known {
 			continue
--- a/internal/core/poison/book.go
+++ b/internal/core/poison/book.go
@@ -18,12 +18,22 @@
 	QuarantineStays = 30 * time.Minute
 	// mostCases bounds a Book: 180 endpoints of 16 requests that end together make 2,880.
 	mostCases = 4096
+	// together is within what time ends that were told by entries without a memory of answers
+	// count as one: a zone that fails takes its endpoints within less.
+	together = 500 * time.Millisecond
+	// mostTogether bounds the starts that are kept of such ends.
+	mostTogether = 64
 )
 
 // End tells that a start of an endpoint ended while it ran a request.
 type End struct {
 	Request Fingerprint `json:"request"`
 	Start   string      `json:"start"` // of the endpoint's process; another one after a restart
+	// Cold tells that the entry has not run for long enough to know which requests are often
+	// answered: see Recent. Symptom if its word counted like any other: all processes are
+	// killed, and just after they are back three endpoints fail together; look-ups that are all
+	// alike ran on each, no entry remembers an answer, and all of them are refused.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // Case is what is known of one request.
@@ -31,6 +41,8 @@
 	Request Fingerprint `json:"request"`
 	// Starts are those that ended under it, oldest first.
 	Starts []string `json:"starts,omitempty"`
+	// Beside are starts that ended together with one of these and do not count.
+	Beside []string `json:"beside,omitempty"`
 	// Quarantined tells since when it is refused; zero if it is not.
 	Quarantined time.Time `json:"quarantined,omitzero"`
 	At          time.Time `json:"at,omitzero"` // of the newest end
@@ -39,10 +51,16 @@
 // Book keeps the cases that one process knows of. It is not safe for concurrent use.
 type Book struct {
 	cases map[Fingerprint]*Case
+	stays time.Duration // of a quarantine
 }
 
-// NewBook returns an empty Book.
-func NewBook() *Book { return &Book{cases: map[Fingerprint]*Case{}} }
+// NewBook returns an empty Book with quarantines of QuarantineStays.
+func NewBook() *Book { return NewBookFor(QuarantineStays) }
+
+// NewBookFor returns an empty Book with quarantines that last for so long.
+func NewBookFor(stays time.Duration) *Book {
+	return &Book{cases: map[Fingerprint]*Case{}, stays: stays}
+}
 
 // Ended takes an end in. It reports whether it was not known, and whether the request is
 // quarantined by it.
@@ -54,9 +72,13 @@
 		b.cases[e.Request] = c
 	}
 	b.lapse(now, c)
-	if slices.Contains(c.Starts, e.Start) {
+	if slices.Contains(c.Starts, e.Start) || slices.Contains(c.Beside, e.Start) {
 		return false, false
 	}
+	if e.Cold && len(c.Starts) > 0 && now.Sub(c.At) < together {
+		c.Beside = append(c.Beside[max(0, len(c.Beside)-mostTogether+1):], e.Start)
+		return true, false
+	}
 	c.Starts, c.At = append(c.Starts, e.Start), now
 	if len(c.Starts) < EndsToQuarantine || !c.Quarantined.IsZero() {
 		return true, false
@@ -80,6 +102,24 @@
 	b.cases[c.Request] = &c
 }
 
+// Forgive takes back what was counted for a start: its end had another cause. A quarantine
+// that it led to ends.
+func (b *Book) Forgive(start string) {
+	for f, c := range b.cases {
+		at := slices.Index(c.Starts, start)
+		if at < 0 {
+			continue
+		}
+		c.Starts = slices.Delete(slices.Clone(c.Starts), at, at+1)
+		if len(c.Starts) < EndsToQuarantine {
+			c.Quarantined = time.Time{}
+		}
+		if len(c.Starts) == 0 {
+			delete(b.cases, f)
+		}
+	}
+}
+
 // Len returns how many cases there are.
 func (b *Book) Len() int { return len(b.cases) }
 
@@ -102,7 +142,7 @@
 	b.lapse(now, c)
 	s := Standing{Ends: len(c.Starts)}
 	if !c.Quarantined.IsZero() {
-		s.Quarantined, s.Left = true, QuarantineStays-now.Sub(c.Quarantined)
+		s.Quarantined, s.Left = true, b.stays-now.Sub(c.Quarantined)
 	}
 	return s
 }
@@ -112,8 +152,8 @@
 func (b *Book) lapse(now time.Time, c *Case) {
 	switch {
 	case c.Quarantined.IsZero() && now.Sub(c.At) > CaseStays:
-		c.Starts = nil
-	case !c.Quarantined.IsZero() && now.Sub(c.Quarantined) >= QuarantineStays:
+		c.Starts, c.Beside = nil, nil
+	case !c.Quarantined.IsZero() && now.Sub(c.Quarantined) >= b.stays:
 		c.Quarantined, c.At = time.Time{}, now
 		c.Starts = slices.Clone(c.Starts[max(0, len(c.Starts)-EndsToQuarantine+1):])
 	}
--- a/internal/core/poison/doc.go
+++ b/internal/core/poison/doc.go
@@ -14,7 +14,8 @@
 //     endpoint that is back may end again.
 //   - A whole answer clears it: a request that ends whoever runs it has none. That clears the
 //     requests of which there are many alike, which run on several endpoints at once and are
-//     under several ends when a zone fails: others like them are answered (Recent).
+//     under several ends when a zone fails: others like them are answered (Recent). Of entries
+//     that have just started and remember no answers, ends that come together count as one.
 //   - Time clears it too (CaseStays, QuarantineStays). After a quarantine the next run is on
 //     probation: one more end quarantines it again.
 //
--- a/internal/core/poison/recent.go
+++ b/internal/core/poison/recent.go
@@ -17,10 +17,16 @@
 type Recent struct {
 	new, old map[Fingerprint]struct{}
 	turned   time.Time
+	begun    time.Time
 }
 
 // NewRecent returns an empty Recent.
-func NewRecent() *Recent { return &Recent{new: map[Fingerprint]struct{}{}} }
+func NewRecent(now time.Time) *Recent {
+	return &Recent{new: map[Fingerprint]struct{}{}, begun: now}
+}
+
+// Cold reports whether it has not remembered for long enough to know what is often answered.
+func (r *Recent) Cold(now time.Time) bool { return now.Sub(r.begun) < recentStays }
 
 // Answered notes a whole answer.
 func (r *Recent) Answered(now time.Time, f Fingerprint) {
