A host that has just come back empty reads what is in force through the leader

Cause: Deployment waited for the host's own copy alone. A host that came back empty knows the leader before it is a member, and is sent nothing until the leader has dropped its old identity and admitted the new one; under load that takes longer than the operator waits. Ruled out: an older answer; none was seen, and each of the two answers is confirmed by a quorum after the call began, so neither can be older than it.

The mend: from 0.3 s on the leader is asked too and the first answer counts; the host's own copy goes on being waited for, so that no read ends later than before.

--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -351,6 +351,25 @@
 	}
 }
 
+// Symptom: an operator who reads what is in force at a host that has just come back empty
+// gets no answer, although the host knows the leader.
+// Sequence: a host loses its disk and starts again under a new identity; the leader still
+// holds the old one at that address, and admits the new one late.
+// Cause: the host answers from its own copy alone, which nobody brings up to date before
+// it is a member.
+func TestHostThatIsNoMemberYetReadsThroughTheLeader(t *testing.T) {
+	s := newSite(t, 4)
+	s.eventually("formed", func() bool { return s.settled(4) })
+	s.deploy(0, 5)
+	for _, c := range s.hosts {
+		c.loop.post(func() { c.loop.rosterUsed = false }) // nobody is admitted
+	}
+	s.wipe(3)
+	s.eventually("read", func() bool { return s.version(3) == 5 })
+	s.deploy(0, 6)
+	s.eventually("the next one read", func() bool { return s.version(3) == 6 })
+}
+
 // Symptom: an operator's call at a host without a vote takes 0.5 s, half of what
 // the operator waits before it tries elsewhere.
 // Cause: the host holds the change at once, but hears that it is decided only
--- a/internal/app/control/handlers.go
+++ b/internal/app/control/handlers.go
@@ -46,6 +46,8 @@
 		return c.onJoin(ctx, raw)
 	case wire.MethodGreet:
 		return c.onGreet(raw)
+	case wire.MethodDeployment:
+		return c.onDeployment(ctx)
 	}
 	if c.cfg.Methods != nil {
 		return c.cfg.Methods(ctx, method, raw)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -19,22 +19,23 @@
 
 // Methods of control hosts.
 const (
-	MethodRaft      = "raft"      // notification []consensus.Message
-	MethodPropose   = "propose"   // ProposeParams -> state.Result
-	MethodSubscribe = "subscribe" // SubscribeParams -> SubscribeResult
-	MethodChanges   = "changes"   // notification Changes, control to subscriber
-	MethodBeat      = "beat"      // Beat -> BeatResult
-	MethodSessions  = "sessions"  // Sessions -> SessionsResult, control host to leader
-	MethodDemand    = "demand"    // DemandParams -> DemandResult
-	MethodFresh     = "fresh"     // FreshParams -> FreshResult
-	MethodClaim     = "claim"     // ClaimParams -> ClaimResult
-	MethodStatus    = "status"    // -> ControlStatus
-	MethodMember    = "member"    // MemberParams -> MemberResult
-	MethodJoin      = "join"      // JoinParams -> JoinResult; the leader decides when to admit
-	MethodGreet     = "greet"     // Greeting -> Greeting
-	MethodPull      = "pull"      // PullParams -> PullResult; the leader holds it until something changed
-	MethodTell      = "tell"      // TellParams -> nothing; what waits and runs at an entry
-	MethodCommit    = "commit"    // command on behalf of a subscriber -> state.Result
+	MethodRaft       = "raft"       // notification []consensus.Message
+	MethodPropose    = "propose"    // ProposeParams -> state.Result
+	MethodSubscribe  = "subscribe"  // SubscribeParams -> SubscribeResult
+	MethodChanges    = "changes"    // notification Changes, control to subscriber
+	MethodBeat       = "beat"       // Beat -> BeatResult
+	MethodSessions   = "sessions"   // Sessions -> SessionsResult, control host to leader
+	MethodDemand     = "demand"     // DemandParams -> DemandResult
+	MethodFresh      = "fresh"      // FreshParams -> FreshResult
+	MethodClaim      = "claim"      // ClaimParams -> ClaimResult
+	MethodStatus     = "status"     // -> ControlStatus
+	MethodMember     = "member"     // MemberParams -> MemberResult
+	MethodJoin       = "join"       // JoinParams -> JoinResult; the leader decides when to admit
+	MethodGreet      = "greet"      // Greeting -> Greeting
+	MethodDeployment = "deployment" // -> state.Deployment; the leader tells it to a host whose copy is behind
+	MethodPull       = "pull"       // PullParams -> PullResult; the leader holds it until something changed
+	MethodTell       = "tell"       // TellParams -> nothing; what waits and runs at an entry
+	MethodCommit     = "commit"     // command on behalf of a subscriber -> state.Result
 )
 
 // Methods of agents.
