A bound on what any policy could earn, by prices on memory and order time, and the lab shows the gap to it

Cause: nobody could say how much a policy leaves; the lab's 'everything held' is a rule of dispatch in a world that no engine can be in, not a bound. core/bound: Lagrangian relaxation. Each choice of prices, zero or more, on engines' memory (by dual feasible functions, so that two models of 0.6 do not share an engine) and on their order time gives a bound; per model the best stays are found in one pass over windows. The proof stands in its doc.go. Also bounded apart: policies that load a model only when a request waits for it. Left out, so that it is too kind: slots and computing time, second replicas, adapters, the store's pace.

--- a/internal/app/lab/main.go
+++ b/internal/app/lab/main.go
@@ -18,6 +18,7 @@
 	Seeds  int           `long:"seeds" env:"CASSIAPASS_LAB_SEEDS" default:"8" description:"runs of each policy"`
 	Shift  time.Duration `long:"shift" env:"CASSIAPASS_LAB_SHIFT" default:"15s" description:"demand moves to another model this often; 0 never"`
 	Renew  time.Duration `long:"renew" env:"CASSIAPASS_LAB_RENEW" default:"0s" description:"an engine is replaced by an empty one this often; 0 never"`
+	Bound  bool          `long:"bound" env:"CASSIAPASS_LAB_BOUND" description:"also compute what no policy could exceed with the demand known ahead, and how far below each one stays; some seconds a seed"`
 	JSON   bool          `long:"json" env:"CASSIAPASS_LAB_JSON" description:"print JSON instead of a table"`
 	Plot   string        `long:"plot" env:"CASSIAPASS_LAB_PLOT" description:"write a plot to this file, .svg or .png"`
 }
@@ -57,6 +58,11 @@
 	for _, p := range chosen(o.Policy) {
 		sums = append(sums, Compare(site, p, o.Seeds))
 	}
+	if o.Bound {
+		if err := addBound(site, sums, o.Seeds); err != nil {
+			return 1, err
+		}
+	}
 	if o.Plot != "" {
 		if err := Plot(o.Plot, site, sums); err != nil {
 			return 1, err
@@ -68,11 +74,29 @@
 	return 0, Table(out, site, sums)
 }
 
-// Compare plays a policy with the seeds from 1 up, at most four at a time.
+// addBound fills in what no policy could exceed.
+func addBound(s *Site, sums []Summary, seeds int) error {
+	earned := 0.0
+	for _, x := range sums {
+		if p := Policies()[slices.Index(PolicyNames(), x.Policy)]; !p.Everything {
+			earned = max(earned, x.Earned)
+		}
+	}
+	most, err := Bound(s, seeds, earned)
+	for i := range sums {
+		sums[i].Most = &most
+	}
+	return err
+}
+
+// atOnce is how many runs are played at a time.
+const atOnce = 4
+
+// Compare plays a policy with the seeds from 1 up.
 func Compare(s *Site, p Policy, seeds int) Summary {
 	runs := make([]*Outcome, seeds)
 	var all sync.WaitGroup
-	slots := make(chan struct{}, 4)
+	slots := make(chan struct{}, atOnce)
 	for i := range seeds {
 		all.Go(func() {
 			slots <- struct{}{}
--- a/internal/app/lab/outcome.go
+++ b/internal/app/lab/outcome.go
@@ -95,13 +95,14 @@
 // Summary is the outcome of a policy over several seeds.
 type Summary struct {
 	Policy  string             `json:"policy"`
-	Earned  float64            `json:"earned"`    // mean share of what was owed
-	Spread  float64            `json:"spread"`    // standard deviation over the seeds
-	InTime  map[string]float64 `json:"inTime"`    // class to the share answered within the objective
-	Served  map[string]float64 `json:"served"`    // class to the share answered at all
-	Starved float64            `json:"starved"`   // models asked for and never served, on average
-	Loads   float64            `json:"loads"`     // from the store, on average
-	Worst   float64            `json:"worstSpan"` // mean over the seeds of the worst span's share
+	Earned  float64            `json:"earned"`         // mean share of what was owed
+	Spread  float64            `json:"spread"`         // standard deviation over the seeds
+	InTime  map[string]float64 `json:"inTime"`         // class to the share answered within the objective
+	Served  map[string]float64 `json:"served"`         // class to the share answered at all
+	Starved float64            `json:"starved"`        // models asked for and never served, on average
+	Loads   float64            `json:"loads"`          // from the store, on average
+	Worst   float64            `json:"worstSpan"`      // mean over the seeds of the worst span's share
+	Most    *Most              `json:"most,omitempty"` // no policy can earn more; nil if not computed
 	overall []float64          // span to its share, over all seeds
 }
 
@@ -139,6 +140,11 @@
 	return s
 }
 
+// gap returns what a policy leaves of the most that could be earned, in per cent of that.
+// It may be below zero for one that no engine can follow, as each holds everything, and for
+// one that loads ahead against the bound for those that do not.
+func (s Summary) gap(most float64) float64 { return 100 * (1 - s.Earned/most) }
+
 // Table writes summaries, one a line.
 func Table(w io.Writer, site *Site, sums []Summary) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
@@ -146,13 +152,21 @@
 	for _, c := range site.Classes {
 		fmt.Fprintf(t, "%s in time\tserved\t", c.Name)
 	}
-	fmt.Fprintln(t, "starved\tstore loads\t")
+	fmt.Fprint(t, "starved\tstore loads\t")
+	if sums[0].Most != nil {
+		fmt.Fprint(t, "at most ahead\tgap\ton demand\tgap\t")
+	}
+	fmt.Fprintln(t)
 	for _, s := range sums {
 		fmt.Fprintf(t, "%s\t%.3f\t%.3f\t%.3f\t", s.Policy, s.Earned, s.Spread, s.Worst)
 		for _, c := range site.Classes {
 			fmt.Fprintf(t, "%.3f\t%.3f\t", s.InTime[c.Name], s.Served[c.Name])
 		}
-		fmt.Fprintf(t, "%.1f\t%.1f\t\n", s.Starved, s.Loads)
+		fmt.Fprintf(t, "%.1f\t%.1f\t", s.Starved, s.Loads)
+		if s.Most != nil {
+			fmt.Fprintf(t, "%.3f\t%.1f %%\t%.3f\t%.1f %%\t", s.Most.Ahead, s.gap(s.Most.Ahead), s.Most.OnDemand, s.gap(s.Most.OnDemand))
+		}
+		fmt.Fprintln(t)
 	}
 	return t.Flush()
 }
--- a/internal/app/lab/run.go
+++ b/internal/app/lab/run.go
@@ -58,19 +58,31 @@
 	f  func()
 }
 
-// Run plays a site under a policy and returns what callers got.
-func Run(s *Site, p Policy, seed uint64) *Outcome {
+// newRunner returns a runner whose engines hold what they do at the beginning.
+func newRunner(s *Site, p Policy, seed uint64) *runner {
 	x := &runner{site: s, r: rand.New(rand.NewPCG(seed, 1)), planner: fleet.New(p.Plan), engines: map[fleet.EndpointID]*engine{},
-		at: map[*request]*engine{}, store: store{full: storeFullSpeed}, urgent: make([]bool, s.Entries), frozen: p.Frozen, out: newOutcome(s, p)}
+		at: map[*request]*engine{}, store: store{full: storeFullSpeed}, urgent: make([]bool, s.Entries), frozen: p.Frozen, out: newOutcome(s, p), now: -lead}
 	for range s.Entries {
 		x.runs = append(x.runs, map[runKey]*fleet.Use{})
 		x.arrived = append(x.arrived, map[fleet.Want]int{})
 	}
 	x.planner.SetDeployment(&deploy.Config{Services: map[string]*deploy.Service{"llm": {Name: "llm", Engine: s.Spec}}})
-	reqs := s.arrivals(rand.New(rand.NewPCG(seed, 2)))
 	x.furnish(p.Everything)
-	x.now = -lead
-	for end := s.Length + slices.MaxFunc(s.Classes, func(a, b Class) int { return int(a.Limit - b.Limit) }).Limit; x.now < end; x.now += tick {
+	return x
+}
+
+// load returns the requests of a run, the same for each policy.
+func (s *Site) load(seed uint64) []*request { return s.arrivals(rand.New(rand.NewPCG(seed, 2))) }
+
+// end returns when the last caller has left.
+func (s *Site) end() time.Duration {
+	return s.Length + slices.MaxFunc(s.Classes, func(a, b Class) int { return int(a.Limit - b.Limit) }).Limit
+}
+
+// Run plays a site under a policy and returns what callers got.
+func Run(s *Site, p Policy, seed uint64) *Outcome {
+	x, reqs := newRunner(s, p, seed), s.load(seed)
+	for end := s.end(); x.now < end; x.now += tick {
 		for len(reqs) > 0 && reqs[0].born <= x.now {
 			x.arrive(reqs[0])
 			reqs = reqs[1:]
