--- a/internal/app/lab/doc.go
+++ b/internal/app/lab/doc.go
@@ -1,7 +1,8 @@
 // Package lab plays a load against emulated engines in virtual time, through the
 // very packages that decide on a deployment whose endpoints are reached directly:
 // core/fleet plans the models and chooses the endpoints. It compares policies
-// over the same arrivals and seeds, and tells what callers get.
+// over the same arrivals and seeds, and tells what callers get. What no policy could
+// exceed is computed by core/bound, for these loads and for recorded ones.
 //
 // What is emulated: engines that batch (a step takes longer with more requests,
 // prompts are read in between), hold as many models as fit, carry out one order of
--- a/internal/app/lab/main.go
+++ b/internal/app/lab/main.go
@@ -19,6 +19,8 @@
 	Shift  time.Duration `long:"shift" env:"CASSIAPASS_LAB_SHIFT" default:"15s" description:"demand moves to another model this often; 0 never"`
 	Renew  time.Duration `long:"renew" env:"CASSIAPASS_LAB_RENEW" default:"0s" description:"an engine is replaced by an empty one this often; 0 never"`
 	Bound  bool          `long:"bound" env:"CASSIAPASS_LAB_BOUND" description:"also compute what no policy could exceed with the demand known ahead, and how far below each one stays; some seconds a seed"`
+	Of     string        `long:"of" env:"CASSIAPASS_LAB_OF" description:"bound what policies could earn of the recorded load in this JSON file, and end"`
+	Write  string        `long:"write" env:"CASSIAPASS_LAB_WRITE" description:"write the load of the first seed to this file, for --of, and end"`
 	JSON   bool          `long:"json" env:"CASSIAPASS_LAB_JSON" description:"print JSON instead of a table"`
 	Plot   string        `long:"plot" env:"CASSIAPASS_LAB_PLOT" description:"write a plot to this file, .svg or .png"`
 }
@@ -52,8 +54,14 @@
 	if !ok {
 		return code, nil
 	}
+	if o.Of != "" {
+		return exitCode(boundRecording(o.Of, out))
+	}
 	site := ByName(o.Site, o.Load)
 	site.Shift, site.Renew = o.Shift.Truncate(tick), o.Renew.Truncate(tick)
+	if o.Write != "" {
+		return exitCode(writeRecording(o.Write, site))
+	}
 	var sums []Summary
 	for _, p := range chosen(o.Policy) {
 		sums = append(sums, Compare(site, p, o.Seeds))
@@ -74,6 +82,13 @@
 	return 0, Table(out, site, sums)
 }
 
+func exitCode(err error) (int, error) {
+	if err != nil {
+		return 1, err
+	}
+	return 0, nil
+}
+
 // addBound fills in what no policy could exceed.
 func addBound(s *Site, sums []Summary, seeds int) error {
 	earned := 0.0
--- a/internal/app/lab/most_test.go
+++ b/internal/app/lab/most_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"math"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -60,3 +63,37 @@
 	is.True(strings.Contains(b.String(), "10.0 %"))
 	is.True(strings.Contains(b.String(), "5.3 %"))
 }
+
+func TestRecordedLoadIsWrittenAndBounded(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "load.json")
+	is.NoErr(writeRecording(file, scarce()))
+	p, err := readRecording(file)
+	is.NoErr(err)
+	is.Equal(len(p.Models), 25)
+	is.True(math.Abs(p.Total()-scarce().Problem(1).Total()) < 1e-9)
+	p.OnDemand = true
+	_, err = bound.Solve(p, 0, bound.Settings{Window: time.Second, Span: time.Second, Rounds: 2})
+	is.NoErr(err)
+}
+
+func TestBadRecordingsAreRefused(t *testing.T) {
+	is := is.New(t)
+	for what, text := range map[string]string{
+		"unknown field":  `{"engines":1,"megabytes":1,"end":1,"speed":1}`,
+		"no engines":     `{"engines":0,"megabytes":1,"end":1}`,
+		"unknown model":  `{"engines":1,"megabytes":1,"end":1,"requests":[{"model":"a"}]}`,
+		"twice":          `{"engines":1,"megabytes":1,"end":1,"models":[{"name":"a","megabytes":1},{"name":"a","megabytes":1}]}`,
+		"too much later": `{"engines":1,"megabytes":1,"end":1,"models":[{"name":"a","megabytes":1}],"requests":[{"model":"a","at":0,"late":1,"worth":1,"little":2}]}`,
+		"cut off":        `{"engines":1,`,
+	} {
+		file := filepath.Join(t.TempDir(), "load.json")
+		is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+		_, err := readRecording(file)
+		if err == nil {
+			t.Errorf("%s: taken", what)
+		}
+	}
+	_, err := readRecording(filepath.Join(t.TempDir(), "none.json"))
+	is.True(err != nil)
+}
--- a/internal/core/bound/doc.go
+++ b/internal/core/bound/doc.go
@@ -5,8 +5,9 @@
 //
 // # What every policy must respect
 //
-// Time is cut into windows. For a model m let H be the times at which some engine holds it
-// ready; H is a union of separate stays.
+// Time is cut into windows. For a model m let H be the times at which some engine holds it,
+// be it that an unload of it is under way; H is a union of separate stays. A stay in which no
+// request runs is left out: without it the policy earns as much and uses less.
 //
 //   - Memory. Let the share x of a model be its size by the size of an engine. A dual
 //     feasible function f has this property: if the shares of a set of models add up to at
@@ -19,9 +20,15 @@
 //     take at most as many seconds in a window as there are engines, times its length.
 //   - A stay that does not begin at the very start follows a load that ends as it begins;
 //     the engine's memory is taken from the load's start on. Between two stays of a model
-//     lies an unload. Loads take at least the times that the model names.
+//     lies an unload, where models do not also go with their engines. Loads take at least
+//     the times that the model names.
+//   - A stay lasts at least until a request has run that arrived before the stay's end and can
+//     still earn something at its beginning.
 //   - A request earns its worth at most once, its full worth only if the model is held at some
 //     time between From and InTime, the smaller one only if so between From and Late.
+//   - With OnDemand, a load does not begin before a request has arrived since the stay before.
+//     This binds only policies that load nothing ahead and no second replica while the first
+//     one goes.
 //
 // # Why the result is above every policy
 //
