--- a/internal/app/lab/recorded.go
+++ b/internal/app/lab/recorded.go
@@ -66,14 +66,14 @@
 }
 
 func (r recording) problem() (bound.Problem, error) {
-	p := bound.Problem{Engines: r.Engines, Megabytes: r.Megabytes, Begin: span64(r.Begin), End: span64(r.End), Unload: span64(r.Unload)}
+	p := bound.Problem{Engines: r.Engines, Megabytes: r.Megabytes, Begin: fromSeconds(r.Begin), End: fromSeconds(r.End), Unload: fromSeconds(r.Unload)}
 	at := map[string]int{}
 	for i, m := range r.Models {
 		if _, twice := at[m.Name]; twice {
 			return p, oops.Errorf("model %q stands twice", m.Name)
 		}
 		at[m.Name] = i
-		p.Models = append(p.Models, bound.Model{Name: m.Name, Megabytes: m.Megabytes, First: span64(m.First), Again: span64(m.Again), Held: m.Held})
+		p.Models = append(p.Models, bound.Model{Name: m.Name, Megabytes: m.Megabytes, First: fromSeconds(m.First), Again: fromSeconds(m.Again), Held: m.Held})
 	}
 	for i, q := range r.Requests {
 		k, known := at[q.Model]
@@ -81,12 +81,12 @@
 			return p, oops.Errorf("request %d: model %q is not listed", i, q.Model)
 		}
 		p.Models[k].Requests = append(p.Models[k].Requests, bound.Request{
-			From: span64(q.At), InTime: span64(q.InTime), Late: span64(q.Late), Runs: span64(q.Runs), Worth: q.Worth, Little: q.Little})
+			From: fromSeconds(q.At), InTime: fromSeconds(q.InTime), Late: fromSeconds(q.Late), Runs: fromSeconds(q.Runs), Worth: q.Worth, Little: q.Little})
 	}
 	return p, nil
 }
 
-func span64(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+func fromSeconds(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
 
 // record returns a problem as a file holds it.
 func record(p bound.Problem) recording {
--- a/internal/core/bound/valuer.go
+++ b/internal/core/bound/valuer.go
@@ -16,6 +16,10 @@
 	return max(-1, min(g.windows-1, int(math.Floor((seconds-g.begin)/g.width))))
 }
 
+// rounding, in seconds, keeps a time on the border of two windows from falling into the
+// earlier one, which would bar a stay that begins just then.
+const rounding = 1e-9
+
 // asked is a request by windows.
 type asked struct {
 	from, inTime, late int
@@ -50,6 +54,7 @@
 	bestEnd  []int     // window up to k whose end of a stay is worth most for a later one
 }
 
+// Where a stay came from, in place of a window.
 const (
 	none    = -1 // there is no stay before
 	atStart = -2 // the model is held at the beginning
@@ -82,7 +87,7 @@
 		if r.Late < r.From || r.From >= p.End {
 			continue
 		}
-		a := asked{from: v.g.at(r.From.Seconds()), inTime: v.g.at(r.InTime.Seconds()), late: v.g.at(r.Late.Seconds()),
+		a := asked{from: v.g.at(r.From.Seconds()), inTime: v.g.at(r.InTime.Seconds() + rounding), late: v.g.at(r.Late.Seconds() + rounding),
 			runs: int(r.Runs.Seconds() / v.g.width), worth: r.Worth, little: r.Little}
 		if r.InTime < r.From {
 			a.inTime = -1
