core/fleet: a report counts by when it was requested, not by when it is processed

Engines were ordered to hold more than they have memory for and crashed; callers saw their answers cut. The planner's host is short of processor time.

Cause: an order that the planner did not see accepted leaves an engine's state open until a report 250 ms later. The 250 ms ran until the report was processed. On a slow host a report that was made 20 ms after the order waits for seconds, passes, and lacks the model that the order loads: the next load is put on top. The same clock was read in three more places: a lower sequence number taken for a restart, an accepted order given up, an unanswered one ended. All four now go by the time of the query, which is no later than the moment the engine made the report. The list has gone by its request before.

Why it holds stands beside the line.

--- a/internal/core/fleet/incarnation.go
+++ b/internal/core/fleet/incarnation.go
@@ -105,7 +105,7 @@
 
 // restarted reports whether a report comes from another incarnation than the known one, and
 // whether that is a later one.
-func (e *engine) restarted(now time.Time, r Report) (other, later bool) {
+func (e *engine) restarted(r Report) (other, later bool) {
 	switch {
 	case r.StartedAt != 0 && e.ep.StartedAt != 0:
 		return r.StartedAt != e.ep.StartedAt, r.StartedAt > e.ep.StartedAt
@@ -114,7 +114,7 @@
 	}
 	// Neither start time is known: a sequence number that is lower for longer than reports
 	// lag shows a restart.
-	reset := r.Sequence < e.sequence && now.Sub(e.lastActivity) > restartLag
+	reset := r.Sequence < e.sequence && e.queriedAt.Sub(e.lastActivity) > restartLag
 	return reset, reset
 }
 
--- a/internal/core/fleet/results.go
+++ b/internal/core/fleet/results.go
@@ -145,14 +145,16 @@
 	}
 }
 
-// Reported applies an engine's report, which was requested at e.queriedAt.
+// Reported applies an engine's report, which was requested at e.queriedAt. The report is
+// judged by that time, not by now: where the planner's host is short of processor time, a
+// report waits for seconds to be processed, and shows nothing of what happened meanwhile.
 func (p *Planner) Reported(now time.Time, id EndpointID, r Report) {
 	e, known := p.engines[id]
 	if !known {
 		return
 	}
 	e.querying = false
-	switch other, later := e.restarted(now, r); {
+	switch other, later := e.restarted(r); {
 	case later:
 		ep := e.ep
 		ep.ID, ep.StartedAt, ep.Held, ep.Copies, ep.Leaving = IncarnationID(ep.Name(), r.StartedAt), r.StartedAt, nil, r.Copies, r.Leaving
@@ -185,7 +187,7 @@
 		o.accepted, o.inferred = true, true
 		o.due = now.Add(o.estimate + reportLag)
 		e.sequence = r.Sequence
-	case now.Sub(o.issuedAt) > p.cfg.OrderTimeout:
+	case e.queriedAt.Sub(o.issuedAt) > p.cfg.OrderTimeout:
 		// Not carried out so far. Ending it is safe: the next order has the same sequence
 		// number, and only one of the two can be accepted.
 		p.applyReport(now, e, r)
@@ -199,7 +201,7 @@
 	if r.Busy || (e.order.Want.Adapter != "" && slices.Contains(r.Pending, e.order.Want.Model+"/"+e.order.Want.Adapter)) {
 		return
 	}
-	if !e.order.shows(r) && now.Sub(e.order.due) < p.cfg.OrderTimeout {
+	if !e.order.shows(r) && e.queriedAt.Sub(e.order.due) < p.cfg.OrderTimeout {
 		return // the report lags behind the engine
 	}
 	p.learnStore(now, e.order)
@@ -234,7 +236,11 @@
 		e.unsettledAt = now
 	}
 	e.sequence, e.known, e.verifyAt = r.Sequence, true, time.Time{}
-	e.needsReport = now.Sub(e.unsettledAt) < unsettledWait
+	// Nothing is placed here until a report that was requested unsettledWait after the last
+	// sign of an unseen order: by then the report contains that order's effect. An order that
+	// is accepted later raises the sequence number, so the engine refuses the next order,
+	// which expects the number of this report.
+	e.needsReport = e.queriedAt.Sub(e.unsettledAt) < unsettledWait
 	e.setCopies(r.Copies)
 	p.recordLoaded(e, r.Held)
 	e.lastActivity = now
