control: the test of large deployments tells why a leader changed; the known red is traced

Three runs of the test at once with four busy loops on two cores: 5 of 12 runs failed. Their lines: a turn of the leader's loop takes 240 to 600 ms (it takes in the large change), its heartbeats come from the same loop, a follower hears nothing for 370 to 580 ms and campaigns. Processor time was missing for 80 ms at most at a time, so the process wasn't silent as a whole: the loop was. At load 21 on 16 cores 0 of 3 failed.

--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -38,6 +38,7 @@
 	// listen holds the hosts' listen addresses where they differ from the advertised ones.
 	listen []string
 	roster roster.Config
+	log    zerolog.Logger // of all hosts; discards everything by default
 }
 
 // freeAddrs returns addresses that nothing listens on.
@@ -70,6 +71,7 @@
 	g := &testGroup{
 		t: t, addrs: freeAddrs(t, n), hosts: make([]*Control, n), volatile: map[int]bool{},
 		roster: roster.Config{Voters: 3, ReplaceAfter: time.Second, RemoveAfter: 3 * time.Second},
+		log:    zerolog.Nop(),
 	}
 	for _, i := range volatile {
 		g.volatile[i] = true
@@ -108,7 +110,7 @@
 	c, err := New(Config{
 		Host: "h", Group: "main", Listen: listen, Advertise: g.addrs[i], DataDir: dir,
 		Seeds:     Seeds{Addrs: g.seeds, Form: form, Volatile: g.volatile[i], Roster: g.roster},
-		Placement: placement.DefaultConfig(), Leases: member.DefaultConfig(), Log: zerolog.Nop(),
+		Placement: placement.DefaultConfig(), Leases: member.DefaultConfig(), Log: g.log.With().Int("host", i).Logger(),
 		WrapDisk: g.disks[i].wrap,
 		Fatal: func(err error) {
 			if !errors.Is(err, errDiskFull) {
--- a/internal/app/control/large_test.go
+++ b/internal/app/control/large_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/cassiapass/cassiapass/internal/core/roster"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/fake"
@@ -41,6 +43,7 @@
 		relays = append(relays, r)
 	}
 	g := unstartedGroup(t, hosts)
+	g.logLeadership()
 	g.roster = roster.DefaultConfig(2)
 	g.listen, g.addrs = g.addrs, nil
 	for i, r := range relays {
@@ -60,6 +63,57 @@
 	return g
 }
 
+// logLeadership prints, if the test fails, why leaders changed: the hosts' own lines, and when
+// this process got no processor time.
+func (g *testGroup) logLeadership() {
+	begin, lines := time.Now(), &leadershipLines{}
+	g.log = zerolog.New(lines)
+	g.t.Cleanup(func() {
+		if g.t.Failed() {
+			g.t.Logf("since %s:\n%s", begin.Format(time.StampMilli), lines.String())
+		}
+	})
+	stop := make(chan struct{})
+	g.t.Cleanup(func() { close(stop) })
+	go func() {
+		const nap, starved = 5 * time.Millisecond, 50 * time.Millisecond
+		for last := time.Now(); ; last = time.Now() {
+			select {
+			case <-stop:
+				return
+			case <-time.After(nap):
+			}
+			if gap := time.Since(last); gap > starved {
+				fmt.Fprintf(lines, "no_processor_time for %v\n", gap)
+			}
+		}
+	}()
+}
+
+// leadershipLines keeps the log lines that tell why a leader changed, with their time.
+type leadershipLines struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+var leadershipEvents = []string{"campaign_begun", "leader_deposed", "leader_known", "control_loop_slow", "messages_waited", "no_processor_time"}
+
+func (l *leadershipLines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if slices.ContainsFunc(leadershipEvents, func(e string) bool { return bytes.Contains(line, []byte(e)) }) {
+		l.b.WriteString(time.Now().Format(time.StampMilli) + " ")
+		l.b.Write(line)
+	}
+	return len(line), nil
+}
+
+func (l *leadershipLines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // leaderView returns the term of each host and the leader that it knows, -1 if none.
 func (g *testGroup) leaderView() string {
 	var b strings.Builder
