controller: the benchmark of the leader at four sizes, with the power of its growth

180-105, 360-210, 636-360 and 1272-720 engines and entries, models in the proportion of the whole fleet; an entry asks for a dozen models at any size.

The former benchmark (180 engines, 586 models, a plan each 10 ms) can't be compared with these figures: ten plans an operation are now one, as at this size.

--- a/internal/app/controller/bench_test.go
+++ b/internal/app/controller/bench_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -33,25 +35,25 @@
 
 func (f *manyEngines) Order(context.Context, fleet.Order, uint64) fleet.Answer { return fleet.Accepted }
 
-const (
-	benchEngines = 180
-	benchModels  = 586
-	benchEntries = 105
-)
+// benchSize is the size of a benchmarked fleet. Its models grow with its engines.
+type benchSize struct{ engines, entries, models int }
+
+var benchSizes = []benchSize{{180, 105, 105}, {360, 210, 210}, {636, 360, 370}, {1272, 720, 740}}
 
-func benchFleet() (*manyEngines, *deploy.Config) {
+func modelName(i int) string { return fmt.Sprintf("model%04x", i) }
+
+func (z benchSize) fleet() (*manyEngines, *deploy.Config) {
 	models := map[string]*deploy.Model{}
-	name := func(i int) string { return fmt.Sprintf("model%04x", i%benchModels) }
-	for i := range benchModels {
-		models[name(i)] = &deploy.Model{Name: name(i), Megabytes: 16100 + int64(i%2)*18200, AdapterSize: 40, Adapters: i % 3,
+	for i := range z.models {
+		models[modelName(i)] = &deploy.Model{Name: modelName(i), Megabytes: 16100 + int64(i%2)*18200, AdapterSize: 40, Adapters: i % 3,
 			FromStore: 13 * time.Second, FromDisk: 500 * time.Millisecond, FromMemory: 300 * time.Millisecond}
 	}
 	f := &manyEngines{}
-	for i := range benchEngines {
+	for i := range z.engines {
 		ep := fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprintf("i-%08x", i)), Service: "llm", Addr: fmt.Sprintf("10.1.%d.%d:8164", i/200, i%200), Zone: ident.Zone(fmt.Sprintf("zone-%d", i%6)), Slots: 16}
-		ep.Held = []fleet.Held{{Model: name(2 * i), Version: 1, Adapters: []string{"a1", "a2"}}, {Model: name(2*i + 1), Version: 1}}
+		ep.Held = []fleet.Held{{Model: modelName(2 * i % z.models), Version: 1, Adapters: []string{"a1", "a2"}}, {Model: modelName((2*i + 1) % z.models), Version: 1}}
 		for m := range 12 {
-			ep.Copies.Disk = append(ep.Copies.Disk, name(2*i+37*m))
+			ep.Copies.Disk = append(ep.Copies.Disk, modelName((2*i+37*m)%z.models))
 		}
 		f.eps = append(f.eps, ep)
 	}
@@ -60,29 +62,56 @@
 	return f, dep
 }
 
-// benchReport returns a report of a busy entry, which sends five or more a second.
-func benchReport(entry, round int) wire.TellParams {
-	p := wire.TellParams{Host: ident.HostID(fmt.Sprintf("edge-fukuoka-%d", entry))}
+// report returns a report of a busy entry, which sends five or more a second. An entry asks
+// for a dozen models at a time, whatever the size of the fleet.
+func (z benchSize) report(entry, round int) wire.TellParams {
+	p := wire.TellParams{Host: benchEntry(entry)}
+	models, engines := rand.New(rand.NewPCG(uint64(entry), uint64(round%2))), rand.New(rand.NewPCG(uint64(entry), uint64(round+2)))
 	for i := range 6 {
-		m := (entry*31 + round*17 + i*53) % benchModels
-		d := fleet.Demand{Want: fleet.Want{Model: fmt.Sprintf("model%04x", m)}, Arrived: 1}
+		d := fleet.Demand{Want: fleet.Want{Model: modelName(models.IntN(z.models))}, Arrived: 1}
 		if i == 0 {
 			d.Add(100*time.Millisecond, 9*time.Second, 300*time.Millisecond)
 		}
 		p.Demands = append(p.Demands, d)
 	}
-	for i := range 8 {
-		e := (entry*7 + round*3 + i*29) % benchEngines
-		p.Uses = append(p.Uses, fleet.Use{Endpoint: fleet.EndpointID(fmt.Sprintf("i-%08x", e)), Want: fleet.Want{Model: fmt.Sprintf("model%04x", 2*e%benchModels)}, Running: 1, Sent: 1})
+	for range 8 {
+		e := engines.IntN(z.engines)
+		p.Uses = append(p.Uses, fleet.Use{Endpoint: fleet.EndpointID(fmt.Sprintf("i-%08x", e)), Want: fleet.Want{Model: modelName(2 * e % z.models)}, Running: 1, Sent: 1})
 	}
 	return p
 }
 
-// BenchmarkLeader measures the leader's work for 180 engines and 105 busy entries: in one
-// second it gets 7 reports from each entry, plans every 10 ms and sends 9 answers to each.
-// One operation is a tenth of that second.
+func benchEntry(i int) ident.HostID { return ident.HostID(fmt.Sprintf("edge-fukuoka-%d", i)) }
+
+// growth returns the power of the fleet's size by which a figure grew since the size before.
+func growth(before, now float64, a, b benchSize) float64 {
+	return math.Log(now/before) / math.Log(float64(b.engines)/float64(a.engines))
+}
+
+// BenchmarkLeader measures the leader's work by engines and busy entries: in one second it
+// gets 7 reports from each entry, plans every 100 ms and sends 9 answers to each entry. One
+// operation is a tenth of that second. The powers are those by which time and bytes grow
+// from the next smaller size: 1 is in proportion to the fleet.
 func BenchmarkLeader(b *testing.B) {
-	f, dep := benchFleet()
+	var lastTime, lastBytes float64
+	for i, z := range benchSizes {
+		b.Run(fmt.Sprintf("%d-%d", z.engines, z.entries), func(b *testing.B) {
+			bytes := benchmarkLeader(b, z)
+			took := b.Elapsed().Seconds() / float64(b.N)
+			b.ReportMetric(bytes, "told-bytes/op")
+			b.ReportMetric(bytes/float64(z.entries), "told-bytes/entry")
+			if i > 0 && lastTime > 0 {
+				b.ReportMetric(growth(lastTime, took, benchSizes[i-1], z), "time-power")
+				b.ReportMetric(growth(lastBytes, bytes, benchSizes[i-1], z), "bytes-power")
+			}
+			lastTime, lastBytes = took, bytes
+		})
+	}
+}
+
+// benchmarkLeader returns the bytes told to entries in an operation.
+func benchmarkLeader(b *testing.B, z benchSize) float64 {
+	f, dep := z.fleet()
 	c := New(Config{Fleet: f, Decode: func(string) (*deploy.Config, error) { return dep, nil }, Planner: fleet.DefaultConfig(), Host: "h1", Log: zerolog.Nop()})
 	lead := leading(1)
 	c.host = lead
@@ -93,38 +122,41 @@
 	c.applyDeployment()
 	c.listOK = true
 	c.planner.List(now, now, f.eps)
-	for e := range benchEntries {
-		c.entries[fmt.Sprintf("edge-fukuoka-%d", e)] = now.Add(time.Hour)
+	for e := range z.entries {
+		c.entries[string(benchEntry(e))] = now.Add(time.Hour)
 	}
 	var reports [][]byte
-	for e := range benchEntries * 7 {
-		raw, err := json.Marshal(benchReport(e%benchEntries, e))
+	for e := range z.entries * 7 {
+		raw, err := json.Marshal(z.report(e%z.entries, e))
 		if err != nil {
 			b.Fatal(err)
 		}
 		reports = append(reports, raw)
 	}
-	rev, round := uint64(0), 0
-	size := 0
+	plan := func() {
+		now = now.Add(100 * time.Millisecond)
+		for _, q := range c.planner.Plan(now).Queries {
+			r, _ := f.Report(b.Context(), q)
+			c.planner.Reported(now, q.Endpoint, r)
+		}
+		c.publish(now)
+	}
+	for range 2 * z.engines / c.cfg.Planner.MaxQueries { // until all engines are known
+		plan()
+	}
+	rev, round, size := c.rev, 0, 0
 	for b.Loop() {
 		for range len(reports) / 10 {
 			var p wire.TellParams
 			if err := json.Unmarshal(reports[round%len(reports)], &p); err != nil {
 				b.Fatal(err)
 			}
-			c.planner.RecordDemand(now, string(p.Host), p.Demands, p.Uses)
+			c.applyReport(now, p)
 			round++
 		}
-		for range 10 {
-			now = now.Add(10 * time.Millisecond)
-			for _, q := range c.planner.Plan(now).Queries {
-				r, _ := f.Report(b.Context(), q)
-				c.planner.Reported(now, q.Endpoint, r)
-			}
-			c.publish(now)
-		}
-		for e := range benchEntries * 9 / 10 {
-			r, _, _ := c.pub.answer(wire.PullParams{Host: ident.HostID(fmt.Sprint(e)), Term: 1, Rev: rev, Version: 3})
+		plan()
+		for e := range z.entries * 9 / 10 {
+			r, _, _ := c.pub.answer(wire.PullParams{Host: benchEntry(e), Term: 1, Rev: rev, Version: 3})
 			raw, err := json.Marshal(r)
 			if err != nil {
 				b.Fatal(err)
@@ -133,5 +165,5 @@
 		}
 		rev = c.rev
 	}
-	b.ReportMetric(float64(size)/float64(b.N), "told-bytes/op")
+	return float64(size) / float64(b.N)
 }
--- a/internal/app/controller/calls.go
+++ b/internal/app/controller/calls.go
@@ -139,8 +139,13 @@
 func (c *Controller) acceptReport(p wire.TellParams) {
 	c.post(func(now time.Time) {
 		if c.planner != nil {
-			c.planner.RecordDemand(now, string(p.Host), p.Demands, p.Uses)
-			c.recordEnds(now, p.Host, p.Ends, p.Answered)
+			c.applyReport(now, p)
 		}
 	})
 }
+
+// applyReport applies a report while this host leads.
+func (c *Controller) applyReport(now time.Time, p wire.TellParams) {
+	c.planner.RecordDemand(now, string(p.Host), p.Demands, p.Uses)
+	c.recordEnds(now, p.Host, p.Ends, p.Answered)
+}
