controller: entries are told the loads that they may need, not those of all engines

What grew faster than the fleet: each answer to an entry carried the running count of every engine, entries x engines in bytes and in encoding. 8.8 kB an answer at 636 engines, 17 kB at twice as many; at 720 entries the leader spent 190 of 100 ms on a tenth of a second's work.

Now an entry is told of endpoints that run at a quarter of their slots or more (below that an engine answers like an idle one) and hold a model that the entry asked for in the last 10 s. How many that are depends on the entry's own requests, not on the fleet. Beside it were weighed: counts by change since the entry's revision (at the fleet's rate nearly all counts change between two answers: no gain), and none at all, with the load that answers carry (an entry meets an engine once in seconds there: too old for full engines).

The message keeps its form: an entry of before reads fewer counts and takes the rest for 0; a control host of before sends all.

--- a/internal/app/controller/calls.go
+++ b/internal/app/controller/calls.go
@@ -147,5 +147,6 @@
 // applyReport applies a report while this host leads.
 func (c *Controller) applyReport(now time.Time, p wire.TellParams) {
 	c.planner.RecordDemand(now, string(p.Host), p.Demands, p.Uses)
+	c.pub.recordInterest(now, p.Host, p.Demands)
 	c.recordEnds(now, p.Host, p.Ends, p.Answered)
 }
--- a/internal/app/controller/publish.go
+++ b/internal/app/controller/publish.go
@@ -21,7 +21,7 @@
 // to all.
 func (c *Controller) publish(now time.Time) {
 	c.dropSilentEntries(now)
-	c.pub.setRunning(c.planner.RunningByEndpoint(), len(c.entries))
+	c.pub.setLoads(c.planner.Loads(), len(c.entries))
 	c.publishETAs(now)
 	if now.Sub(c.suspects.publishedAt) >= publishPerEntry*time.Duration(len(c.entries)) {
 		c.publishSuspects(now)
@@ -56,6 +56,7 @@
 		if now.Sub(at) > entryTimeout {
 			delete(c.entries, h)
 			c.planner.Forget(h)
+			c.pub.forgetInterest(h)
 			c.cfg.Log.Warn().Str("entry", h).Msg("entry_silent")
 		}
 	}
--- a/internal/app/controller/publisher.go
+++ b/internal/app/controller/publisher.go
@@ -23,8 +23,8 @@
 	eps           map[fleet.EndpointID]publishedEndpoint
 	removed       map[fleet.EndpointID]uint64 // removed endpoint to the revision that removed it
 	floor         uint64                      // removals up to this revision are no longer kept
-	running       map[fleet.EndpointID]int    // requests in progress by endpoint
-	runningRaw    json.RawMessage             // running encoded; nil until requested
+	loads         fleet.Loads                 // requests in progress where they are many
+	interests     fleet.Interests             // models that entries ask for
 	etas          map[string]publishedETA     // model to its last published ETA
 	suspects      wire.Suspects               // requests under which endpoints ended; zero until published
 	entries       int                         // live entries
@@ -91,6 +91,7 @@
 	pub.awaitedRev, pub.wakeups = map[ident.HostID]uint64{}, map[ident.HostID]chan struct{}{}
 	pub.eps, pub.removed = map[fleet.EndpointID]publishedEndpoint{}, map[fleet.EndpointID]uint64{}
 	pub.etas = map[string]publishedETA{}
+	pub.loads, pub.interests = nil, fleet.Interests{}
 	pub.suspects = wire.Suspects{}
 	pub.link, pub.slots = limit.NewMeter(pub.perSecond), map[ident.HostID]time.Time{}
 }
@@ -297,26 +298,40 @@
 	pub.listRead, pub.typicalAge = at, typicalAge
 }
 
-// setRunning sets the requests in progress by endpoint and the number of entries. It
-// wakes no call: they change constantly and are sent with every answer.
-func (pub *publisher) setRunning(running map[fleet.EndpointID]int, entries int) {
+// setLoads sets the loads of endpoints and the number of entries. It wakes no call: loads
+// change constantly and are sent with every answer.
+func (pub *publisher) setLoads(loads fleet.Loads, entries int) {
 	pub.mu.Lock()
 	defer pub.mu.Unlock()
-	pub.running, pub.runningRaw, pub.entries = running, nil, entries
+	pub.loads, pub.entries = loads, entries
 }
 
-// encodedRunning returns the requests in progress by endpoint, encoded once for all calls
-// between two plans: encoding them for each of 105 entries took the leader 5 % of a core
-// (BenchmarkLeader). The caller holds mu.
-func (pub *publisher) encodedRunning() json.RawMessage {
-	if pub.runningRaw == nil && len(pub.running) > 0 {
-		raw, err := json.Marshal(pub.running)
-		if err != nil {
-			panic(err) // a map of numbers always encodes
-		}
-		pub.runningRaw = raw
+// recordInterest records the models that an entry's report names.
+func (pub *publisher) recordInterest(now time.Time, entry ident.HostID, demands []fleet.Demand) {
+	pub.mu.Lock()
+	defer pub.mu.Unlock()
+	pub.interests.Record(now, string(entry), demands)
+}
+
+// forgetInterest drops the models that a silent entry asked for.
+func (pub *publisher) forgetInterest(entry string) {
+	pub.mu.Lock()
+	defer pub.mu.Unlock()
+	pub.interests.Forget(entry)
+}
+
+// encodedLoads returns the loads that an entry needs, encoded; nil if there are none. The
+// caller holds mu.
+func (pub *publisher) encodedLoads(entry ident.HostID) json.RawMessage {
+	loads := pub.interests.Of(string(entry), pub.loads)
+	if len(loads) == 0 {
+		return nil
+	}
+	raw, err := json.Marshal(loads)
+	if err != nil {
+		panic(err) // a map of numbers always encodes
 	}
-	return pub.runningRaw
+	return raw
 }
 
 // wakeEvents are the events after which a waiting call must check again what is missing.
@@ -330,7 +345,7 @@
 func (pub *publisher) answer(p wire.PullParams) (wire.PullResult, bool, wakeEvents) {
 	pub.mu.Lock()
 	defer pub.mu.Unlock()
-	r := wire.PullResult{Leading: pub.leading, Term: pub.term, Rev: pub.rev, Running: pub.encodedRunning(), Entries: pub.entries, ListUsual: pub.typicalAge}
+	r := wire.PullResult{Leading: pub.leading, Term: pub.term, Rev: pub.rev, Running: pub.encodedLoads(p.Host), Entries: pub.entries, ListUsual: pub.typicalAge}
 	if !pub.leading {
 		return r, true, wakeEvents{}
 	}
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -315,18 +315,6 @@
 	}
 }
 
-// RunningByEndpoint returns the number of requests in progress per endpoint, over all entries.
-func (p *Planner) RunningByEndpoint() map[EndpointID]int {
-	p.sumReports()
-	out := map[EndpointID]int{}
-	for id, e := range p.engines {
-		if e.running > 0 {
-			out[id] = e.running
-		}
-	}
-	return out
-}
-
 // rate returns a model's current request rate.
 func (p *Planner) rate(now time.Time, name string) float64 {
 	m, known := p.models[name]
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -317,7 +317,7 @@
 	Removed    []fleet.EndpointID `json:"removed,omitempty"`    // with Delta
 	ListAge    time.Duration      `json:"listAge"`              // since the platform's list was read
 	ListUsual  time.Duration      `json:"listUsual"`            // age that it typically reaches
-	Running    json.RawMessage    `json:"running,omitempty"`    // requests in progress, a map[fleet.EndpointID]int encoded once for all entries
+	Running    json.RawMessage    `json:"running,omitempty"`    // a map[fleet.EndpointID]int: requests in progress where they are many, of endpoints that the entry may need
 	ETAs       []fleet.ETA        `json:"etas,omitempty"`       // all, or with Delta those that changed
 	Deployment []byte             `json:"deployment,omitempty"` // a state.Deployment, by Compress
 	Entries    int                `json:"entries"`              // live entries
