fleet, gateway: engines on slow hosts are found by their streams and left out while others have room

Entries chose by load alone; an engine that is slow looks like any other. Ruled out: models that share an engine (slow engines hold the same mix), entries with small shares of a core (late answers are even over entries), waits for loads (51 of 4,646).

Entries report the events and time of the streams that ended; the leader keeps a factor for each model and one for each engine, so that a large model isn't taken for a slow engine, and publishes an engine's factor when it moves by 0.3. A choice leaves out engines that take 1.8 times as long as the fastest one while one of the others has room and answers. An entry keeps what it knows over a change of leader.

Messages: two optional fields; an old entry reports none and its leader learns nothing from it, an old leader ignores them.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -72,7 +72,11 @@
 	if x.firstByte == 0 {
 		x.firstByte = time.Since(x.arrived)
 	}
+	begin, events := time.Now(), x.eventsSent
 	res, err := x.forwardAnswer(cc, resp)
+	if res.complete && x.eventsSent > events {
+		x.g.dir.recordStream(e, x.info.Want, x.eventsSent-events, time.Since(begin))
+	}
 	if err != nil {
 		cc.Close()
 		return x.brokenResult(ctx, e, err, "answer_broken")
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -112,6 +112,8 @@
 	// missingSince is since when it has been requested without an engine that holds it; zero
 	// if it is not missing.
 	missingSince time.Time
+	logPace      float64 // logarithm of the seconds that an average engine takes for an event
+	paceKnown    bool
 }
 
 // New returns a Planner without any knowledge of the fleet.
@@ -244,6 +246,7 @@
 	p.usesByEntry[entry] = uses
 	for _, u := range uses {
 		p.recordUsed(u)
+		p.recordSpeed(u)
 		e, known := p.engines[u.Endpoint]
 		if !known {
 			continue
