--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -357,6 +357,7 @@
 type endpointSnapshot struct {
 	ownRunning, otherRunning, slots int
 	failureShare                    float64
+	relativeTime                    float64 // for the same work, relative to other endpoints
 	rev                             uint64
 	listAge                         time.Duration
 }
@@ -364,7 +365,7 @@
 func (d *directory) snapshot(e *endpoint) endpointSnapshot {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return endpointSnapshot{e.ownRunning, e.otherRunning, e.slots(), e.failureShareAt(time.Now()), d.rev, time.Since(d.asOf)}
+	return endpointSnapshot{e.ownRunning, e.otherRunning, e.slots(), e.failureShareAt(time.Now()), e.RelativeTime(), d.rev, time.Since(d.asOf)}
 }
 
 // recordLoad applies the load that an endpoint reported with an answer.
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -100,6 +100,7 @@
 	newlyHeld        map[Want]bool        // what engines have come to hold since the last call of TakeAwaitingEntries
 	lastSpared       time.Time            // when a model in use was last evicted
 	loadFaults       *poison.Book         // ends of engines under loads of models and adapters
+	speeds           []Speed              // newly found since the last plan
 	newlyQuarantined []Want               // newly in quarantine since the last plan
 	sumsStale        bool                 // wants and the engines' running counts lack the newest reports of entries
 }
--- a/internal/core/fleet/speed.go
+++ b/internal/core/fleet/speed.go
@@ -15,6 +15,12 @@
 	slownessStep = 0.3
 )
 
+// Speed is the time that an endpoint was found to take for the same work, relative to others.
+type Speed struct {
+	Endpoint     EndpointID
+	RelativeTime float64
+}
+
 // recordSpeed learns from streams that ended how fast an engine and a model are. The time
 // for an event is taken as the product of a factor of the model and one of the engine: larger
 // models are slower everywhere, and engines on slower hosts are slower with every model.
@@ -35,6 +41,7 @@
 	e.logSlowness += speedWeight * surplus
 	if s := math.Exp(e.logSlowness); math.Abs(s-e.ep.RelativeTime()) >= slownessStep {
 		e.ep.Slowness = math.Round(10*s) / 10
+		p.speeds = append(p.speeds, Speed{e.ep.ID, e.ep.Slowness})
 		p.changed = true
 	}
 }
--- a/internal/core/fleet/speed_test.go
+++ b/internal/core/fleet/speed_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/cassiapass/cassiapass/internal/core/deploy"
 )
 
 // speedFleet returns a planner with six engines, the last two of them on slower hosts; all
@@ -44,6 +46,8 @@
 		}
 		stream(p, eps[i], model, time.Duration(float64(perEvent)*(0.8+0.4*r.Float64())))
 	}
+	p.SetDeployment(&deploy.Config{})
+	is.True(len(p.Plan(time.Unix(1e6, 0)).Speeds) >= 2) // for the log
 	for i, ep := range p.Endpoints() {
 		slow := ep.RelativeTime() >= slowRatio*p.Endpoints()[0].RelativeTime()
 		is.Equal(slow, i >= 4)
