--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -355,9 +355,6 @@
 	for _, s := range w.Restarts {
 		c.cfg.Log.Warn().Str("endpoint", string(s.Endpoint)).Str("before", string(s.Previous)).Msg("endpoint_started_again")
 	}
-	for _, s := range w.Speeds {
-		c.cfg.Log.Info().Str("endpoint", string(s.Endpoint)).Float64("relative_time", s.RelativeTime).Msg("endpoint_speed")
-	}
 	for _, refused := range w.Quarantined {
 		c.cfg.Log.Warn().Str("model", refused.Model).Str("adapter", refused.Adapter).Msg("load_quarantined")
 	}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -72,11 +72,7 @@
 	if x.firstByte == 0 {
 		x.firstByte = time.Since(x.arrived)
 	}
-	begin, events := time.Now(), x.eventsSent
 	res, err := x.forwardAnswer(cc, resp)
-	if res.complete && x.eventsSent > events {
-		x.g.dir.recordStream(e, x.info.Want, x.eventsSent-events, time.Since(begin))
-	}
 	if err != nil {
 		cc.Close()
 		return x.brokenResult(ctx, e, err, "answer_broken")
@@ -88,7 +84,7 @@
 func (x *exchange) logSent(e *endpoint, cc *http1.ClientConn) {
 	s := x.g.dir.snapshot(e)
 	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Str("zone", string(e.Zone)).Int("send", x.sends).
-		Int("mine", s.ownRunning).Int("others", s.otherRunning).Int("slots", s.slots).Float64("failing", s.failureShare).Float64("relative_time", s.relativeTime).Uint64("directory", s.rev).Dur("list_age", s.listAge).
+		Int("mine", s.ownRunning).Int("others", s.otherRunning).Int("slots", s.slots).Float64("failing", s.failureShare).Uint64("directory", s.rev).Dur("list_age", s.listAge).
 		Dur("left", time.Until(x.deadline)).Bool("kept_connection", cc.Reused).Str("last_event", x.lastEvent).Msg("request_sent")
 }
 
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -119,9 +119,6 @@
 	// The fields that identify an incarnation do not change: requests in progress read
 	// them without the lock.
 	e.StartedAt, e.Slots, e.Leaving, e.Held, e.Copies = ep.StartedAt, ep.Slots, ep.Leaving, ep.Held, ep.Copies
-	if ep.Slowness != 0 { // a new leader learns it anew
-		e.Slowness = ep.Slowness
-	}
 	clear(e.missingAt)
 }
 
@@ -265,7 +262,7 @@
 			continue
 		}
 		eps = append(eps, e)
-		cands = append(cands, fleet.Candidate{Running: e.ownRunning + e.otherRunning, Slots: e.slots(), SameZone: e.Zone == d.zone, Failing: e.failureShareAt(now), Slowness: e.Slowness})
+		cands = append(cands, fleet.Candidate{Running: e.ownRunning + e.otherRunning, Slots: e.slots(), SameZone: e.Zone == d.zone, Failing: e.failureShareAt(now)})
 	}
 	i := fleet.Choose(cands, rand.IntN)
 	if i < 0 {
@@ -344,20 +341,10 @@
 	d.wakeLocked()
 }
 
-// recordStream counts a stream that ended, for the next report.
-func (d *directory) recordStream(e *endpoint, want fleet.Want, events int, took time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	c := e.countsFor(want)
-	c.events += events
-	c.streaming += took
-}
-
 // endpointSnapshot is what is known about an endpoint at one moment, for logs.
 type endpointSnapshot struct {
 	ownRunning, otherRunning, slots int
 	failureShare                    float64
-	relativeTime                    float64 // for the same work, relative to other endpoints
 	rev                             uint64
 	listAge                         time.Duration
 }
@@ -365,7 +352,7 @@
 func (d *directory) snapshot(e *endpoint) endpointSnapshot {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return endpointSnapshot{e.ownRunning, e.otherRunning, e.slots(), e.failureShareAt(time.Now()), e.RelativeTime(), d.rev, time.Since(d.asOf)}
+	return endpointSnapshot{e.ownRunning, e.otherRunning, e.slots(), e.failureShareAt(time.Now()), d.rev, time.Since(d.asOf)}
 }
 
 // recordLoad applies the load that an endpoint reported with an answer.
@@ -389,8 +376,8 @@
 	var out []fleet.Use
 	for id, e := range d.byID {
 		for w, r := range e.counts {
-			out = append(out, fleet.Use{Endpoint: id, Want: w, Running: r.running, Sent: r.started, Missing: !e.missingAt[w].IsZero(), Events: r.events, Streaming: r.streaming})
-			r.started, r.events, r.streaming = 0, 0, 0
+			out = append(out, fleet.Use{Endpoint: id, Want: w, Running: r.running, Sent: r.started, Missing: !e.missingAt[w].IsZero()})
+			r.started = 0
 			if r.running == 0 {
 				delete(e.counts, w)
 			}
--- a/internal/app/gateway/endpoint.go
+++ b/internal/app/gateway/endpoint.go
@@ -33,10 +33,6 @@
 type runCounts struct {
 	running int
 	started int // since the last report
-	// events and streaming are the events of the streams that ended since the last report,
-	// and the time that they took.
-	events    int
-	streaming time.Duration
 }
 
 // refusalReason is why a request was not sent. Its values are written to logs and metrics.
--- a/internal/core/fleet/engine.go
+++ b/internal/core/fleet/engine.go
@@ -32,7 +32,6 @@
 	running         int
 	runningByWant   map[Want]int
 	newestLoad      lastLoad // the newest load that was ordered
-	logSlowness     float64  // logarithm of its time for an event relative to other engines
 }
 
 // held is one model that an engine holds.
@@ -55,7 +54,6 @@
 
 func newEngine(ep Endpoint, now time.Time) *engine {
 	e := &engine{ep: ep, held: map[string]*held{}, loadedAt: map[Want]time.Time{}, runningByWant: map[Want]int{}}
-	e.ep.Slowness = 0 // nothing is known of this incarnation
 	e.setCopies(ep.Copies)
 	e.setHeld(ep.Held, now)
 	return e
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -14,7 +14,6 @@
 	Settled     []Settled // since the last plan
 	Restarts    []Restart // since the last plan
 	Quarantined []Want    // in quarantine since the last plan, as engines ended under their loads
-	Speeds      []Speed   // found since the last plan
 }
 
 // Query requests an engine's report.
@@ -66,7 +65,6 @@
 	w.Settled, p.settled = p.settled, nil
 	w.Restarts, p.restarts = p.restarts, nil
 	w.Quarantined, p.newlyQuarantined = p.newlyQuarantined, nil
-	w.Speeds, p.speeds = p.speeds, nil
 	p.loadFaults.Sweep(now)
 	for _, e := range p.engines {
 		e.inherited = e.pruneInherited(now)
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -100,7 +100,6 @@
 	newlyHeld        map[Want]bool        // what engines have come to hold since the last call of TakeAwaitingEntries
 	lastSpared       time.Time            // when a model in use was last evicted
 	loadFaults       *poison.Book         // ends of engines under loads of models and adapters
-	speeds           []Speed              // newly found since the last plan
 	newlyQuarantined []Want               // newly in quarantine since the last plan
 	sumsStale        bool                 // wants and the engines' running counts lack the newest reports of entries
 }
@@ -113,8 +112,6 @@
 	// missingSince is since when it has been requested without an engine that holds it; zero
 	// if it is not missing.
 	missingSince time.Time
-	logPace      float64 // logarithm of the seconds that an average engine takes for an event
-	paceKnown    bool
 }
 
 // New returns a Planner without any knowledge of the fleet.
@@ -247,7 +244,6 @@
 	p.usesByEntry[entry] = uses
 	for _, u := range uses {
 		p.recordUsed(u)
-		p.recordSpeed(u)
 		e, known := p.engines[u.Endpoint]
 		if !known {
 			continue
--- a/internal/core/fleet/types.go
+++ b/internal/core/fleet/types.go
@@ -24,8 +24,7 @@
 	Leaving    bool       `json:"leaving,omitempty"` // accepts no new requests
 	Held       []Held     `json:"held,omitempty"`
 	Copies     Copies     `json:"copies,omitzero"`
-	Slowness   float64    `json:"slowness,omitempty"` // time for the same work relative to other endpoints; 0 if not known
-	Unreported bool       `json:"-"`                  // Held and Copies are unknown, or of another incarnation
+	Unreported bool       `json:"-"` // Held and Copies are unknown, or of another incarnation
 }
 
 // Listing is the result of reading the platform's list of endpoints.
@@ -140,8 +139,4 @@
 	Running  int        `json:"running"`           // requests in progress now
 	Sent     int        `json:"begun,omitempty"`   // requests sent since the entry's last report
 	Missing  bool       `json:"missing,omitempty"` // the engine said that it does not hold it
-	// Events and Streaming are the events of the streams that ended since the entry's last
-	// report, and the time that they took.
-	Events    int           `json:"events,omitempty"`
-	Streaming time.Duration `json:"streaming,omitempty"`
 }
