--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -63,11 +63,12 @@
 		}
 		return x.brokenResult(ctx, e, err, "no_answer")
 	}
+	x.g.unknown.record(x.g, e.ID, v.Unknown)
 	x.g.dir.recordLoad(e, v)
 	x.g.dir.observeLimit(e, sent, v.Limit)
 	if v.NotRun {
 		x.drainBody(resp)
-		x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Int("status", resp.Status).Bool("lacks", v.ModelMissing).Bool("moved", v.WrongEndpoint).Msg("endpoint_did_not_run")
+		x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Int("status", resp.Status).Bool("lacks", v.ModelMissing).Bool("moved", v.WrongEndpoint).Str("retry_after", v.Pause.Text).Bool("leaving", v.Leaving.Leaving).Msg("endpoint_did_not_run")
 		return notRunResult(v)
 	}
 	if x.firstByte == 0 {
--- a/internal/app/gateway/dialect.go
+++ b/internal/app/gateway/dialect.go
@@ -57,6 +57,23 @@
 	Waiting       int
 	Slots         int
 	Limit         NamedLimit
+	Pause         NamedPause
+	Leaving       NamedLeaving
+	Unknown       []string // names of fields that nothing here reads, shortened
+}
+
+// NamedPause is how long an endpoint that turned a request away wants none from this host.
+type NamedPause struct {
+	Named    bool          // a pause is named, readable or not
+	Readable bool          // For is valid
+	For      time.Duration // 0 or more
+	Text     string        // as received, shortened, for logs
+}
+
+// NamedLeaving is what an answer says about whether its endpoint leaves.
+type NamedLeaving struct {
+	Leaving    bool
+	Unreadable string // a value that says neither, shortened; "" if there is none
 }
 
 // NamedLimit is what an answer says about the rate of requests that its endpoint takes from
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -59,6 +59,7 @@
 	revocations      *revocations
 	allowances       *allowances
 	endpointLimits   *endpointLimits
+	unknown          unknownFields
 	metrics          *metrics
 	table            atomic.Pointer[deploy.Table]
 	startedAt        time.Time
