gateway, core/notice: an endpoint that asks for a pause gets one

What callers saw: little, a send for nothing of some ms each; at a model whose only holder turned them away, up to 4.8 s of waiting and then a refusal. The endpoint got six requests in the 3 s of rest that it had asked for.

Cause: nobody read Retry-After of an endpoint. A 503 left it out for 50 ms, after which it looked like the least loaded one. Ruled out: a pause kept and then lost (nothing was kept), sharing between entries (the rule is by host).

Change: core/notice keeps what each start of an endpoint asked of this process. Every send passes by Book.Send after its connection is there, so a pause that is heard between choice and send withholds it; permit and place go back. The latest end counts; lists, drops from them and successes of earlier requests lift nothing. Unreadable times are a pause of 1 s, longer ones than an hour are asked for again hourly. Requests whose holders all pause wait in order of urgency if the pause ends in time, else they are refused at once with its end. After it one request goes first, then a rate that grows.

--- a/internal/adapter/http1/client.go
+++ b/internal/adapter/http1/client.go
@@ -227,6 +227,13 @@
 	c.pool.mu.Unlock()
 }
 
+// Return returns a connection on which nothing was sent since Get to its pool.
+func (c *ClientConn) Return() {
+	c.writeResult = make(chan error, 1)
+	c.writeResult <- nil
+	c.Keep()
+}
+
 // watchIdle closes an idle connection as soon as the endpoint closes it or sends
 // bytes that belong to no request.
 func (c *ClientConn) watchIdle() {
--- a/internal/app/gateway/acquire.go
+++ b/internal/app/gateway/acquire.go
@@ -25,6 +25,10 @@
 	limit limitState
 	// onlyLimits is set if no endpoint is in the way of the request but by its limit.
 	onlyLimits bool
+	// pause is the pause that ends first, if any endpoint that could take the request has asked
+	// for one, and onlyPauses is set if nothing else is in the way.
+	pause      pauseState
+	onlyPauses bool
 }
 
 // acquire picks an endpoint for a request and counts the request there. If there is none, it
@@ -34,7 +38,10 @@
 func (d *directory) acquire(now time.Time, service string, want fleet.Want, tried map[fleet.EndpointID]bool, w *allowance.Waiter, mayWait bool) (*endpoint, shortage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	eps, s := d.candidates(now, service, want, tried)
+	eps, s := d.candidates(now, service, want, tried, w)
+	if !slices.ContainsFunc(eps, func(e *endpoint) bool { return string(e.ID) == w.Endpoint() }) {
+		d.limits.Done(w) // the endpoint at which it waited takes none now
+	}
 	var limited []*endpoint
 	for first := true; len(eps) > 0; first = false {
 		i := d.choose(now, eps)
@@ -49,6 +56,7 @@
 		if d.limits.Take(now, id, w) {
 			d.countSend(e, want)
 			d.signalPermits(now)
+			delete(d.waiters, w)
 			return e, shortage{}
 		}
 		if mayWait && d.limits.MayAsk(now, id) && slices.ContainsFunc(eps, d.unlimited) {
@@ -66,38 +74,61 @@
 		s.limit = d.waitAtLimit(now, limited, w)
 		d.signalPermits(now)
 	}
+	if s.pause.endpoint != "" {
+		d.waiters[w] = waitingFor{service, want}
+		d.wakeAt(now, s.pause.until)
+	}
 	return nil, s
 }
 
 // candidates returns the endpoints that could take a request now, limits aside, and why not if
 // there are none.
-func (d *directory) candidates(now time.Time, service string, want fleet.Want, tried map[fleet.EndpointID]bool) ([]*endpoint, shortage) {
+func (d *directory) candidates(now time.Time, service string, want fleet.Want, tried map[fleet.EndpointID]bool, w *allowance.Waiter) ([]*endpoint, shortage) {
 	s := shortage{reason: reasonNoEndpoint, changed: d.changed}
 	var eps []*endpoint
+	full := false
 	for _, e := range d.byID {
-		if e.Service != service || e.Leaving {
+		if e.Service != service || d.leaves(e) {
 			continue
 		}
 		r := e.unavailableReason(now, want)
+		full = full || r == reasonAllFull
 		if r == "" && tried[e.ID] {
 			r = reasonAllTried
 		}
+		if r == "" && d.paused(now, e, w, &s.pause) {
+			r = reasonPaused
+		}
 		if r != "" {
 			s.reason = closerReason(s.reason, r)
 			continue
 		}
 		eps = append(eps, e)
 	}
+	s.onlyPauses = s.reason == reasonPaused && !full && len(eps) == 0
 	return eps, s
 }
 
-// choose returns the index of the endpoint to try first.
+// choose returns the index of the endpoint to try first. One that has asked other entries for a
+// pause is tried after the others.
 func (d *directory) choose(now time.Time, eps []*endpoint) int {
-	cands := make([]fleet.Candidate, len(eps))
+	var preferred []int
 	for i, e := range eps {
+		if !d.notices.Advised(now, string(e.ID)) {
+			preferred = append(preferred, i)
+		}
+	}
+	if len(preferred) == 0 {
+		for i := range eps {
+			preferred = append(preferred, i)
+		}
+	}
+	cands := make([]fleet.Candidate, len(preferred))
+	for i, at := range preferred {
+		e := eps[at]
 		cands[i] = fleet.Candidate{Running: e.ownRunning + e.otherRunning, Slots: e.slots(), SameZone: e.Zone == d.zone, Failing: e.failureShareAt(now)}
 	}
-	return fleet.Choose(cands, rand.IntN)
+	return preferred[fleet.Choose(cands, rand.IntN)]
 }
 
 // limitedInstead reports whether a request should wait for a permit of one of the limited
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/adapter/http1"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
+	"github.com/cassiapass/cassiapass/internal/core/notice"
 )
 
 // result is how one attempt at an endpoint ended.
@@ -46,6 +47,12 @@
 		x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Err(err).Msg("endpoint_not_reached")
 		return result{notRun: true, notSent: true, outcome: notConnected}
 	}
+	sending, reason := x.g.dir.beginSend(e)
+	if reason != notice.None {
+		cc.Return()
+		x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Stringer("reason", reason).Msg("send_withheld")
+		return result{notRun: true, notSent: true, outcome: withheld}
+	}
 	cc.AbortOn(ctx)
 	x.logSent(e, cc)
 	h := http1.EndToEnd(x.r.Header)
@@ -54,6 +61,7 @@
 	sent := time.Now()
 	cc.Send(x.r.Method, x.r.Target, x.r.Host, h, x.r.Body)
 	resp, v, err := x.receive(cc, e)
+	x.g.dir.sendEnded(e, sending, err == nil && !v.NotRun, v.NotRun && !v.ModelMissing && !v.WrongEndpoint)
 	if err != nil {
 		cc.Close()
 		if ctx.Err() != nil && time.Since(sent) >= silenceLimit(x.route) {
@@ -99,6 +107,7 @@
 			return nil, AnswerFields{}, err
 		}
 		v := x.g.cfg.Dialect.ReadAnswer(e.Name(), resp.Status, resp.Header)
+		x.g.dir.observeNotices(e, v)
 		if v.ID == x.info.ID {
 			return resp, v, nil
 		}
@@ -118,6 +127,8 @@
 		return result{notRun: true, outcome: wrongEndpoint}
 	case v.ModelMissing:
 		return result{notRun: true, outcome: modelMissing}
+	case v.Pause.asks():
+		return result{notRun: true, outcome: turnedAway}
 	}
 	return result{notRun: true, outcome: full}
 }
--- a/internal/app/gateway/dialect.go
+++ b/internal/app/gateway/dialect.go
@@ -70,6 +70,9 @@
 	Text     string        // as received, shortened, for logs
 }
 
+// asks reports whether a pause is asked for.
+func (p NamedPause) asks() bool { return p.Named && (!p.Readable || p.For > 0) }
+
 // NamedLeaving is what an answer says about whether its endpoint leaves.
 type NamedLeaving struct {
 	Leaving    bool
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -10,6 +10,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/allowance"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/notice"
 )
 
 const (
@@ -40,12 +41,17 @@
 	etas       map[string]time.Time                   // for a model that no endpoint holds, the earliest time at which one will
 	onRemoved  func(e fleet.EndpointID, planned bool) // called for each removed incarnation; may be nil
 	limits     *allowance.PermitClient
-	unreadable map[fleet.EndpointID]string // the last unreadable limit that an endpoint named
-	changed    chan struct{}               // closed and replaced when a waiting request should look again
+	notices    *notice.Book
+	waiters    map[*allowance.Waiter]waitingFor // requests that wait for the end of a pause
+	noticed    chan struct{}                    // signalled when an endpoint has asked for something
+	nextWake   time.Time                        // of the earliest pending timer of wakeAt; zero if there is none
+	unreadable map[fleet.EndpointID]string      // the last unreadable limit that an endpoint named
+	changed    chan struct{}                    // closed and replaced when a waiting request should look again
 }
 
 func newDirectory(zone ident.Zone, log zerolog.Logger) *directory {
-	return &directory{zone: zone, log: log, limits: allowance.NewPermitClient(rand.Uint64(), rand.Float64), unreadable: map[fleet.EndpointID]string{}, byID: map[fleet.EndpointID]*endpoint{}, etas: map[string]time.Time{}, modelIdle: make(chan struct{}, 1), changed: make(chan struct{})}
+	return &directory{zone: zone, log: log, limits: allowance.NewPermitClient(rand.Uint64(), rand.Float64),
+		notices: notice.NewBook(rand.Float64), waiters: map[*allowance.Waiter]waitingFor{}, noticed: make(chan struct{}, 1), unreadable: map[fleet.EndpointID]string{}, byID: map[fleet.EndpointID]*endpoint{}, etas: map[string]time.Time{}, modelIdle: make(chan struct{}, 1), changed: make(chan struct{})}
 }
 
 // wakeLocked makes waiting requests look again. The caller holds mu.
@@ -133,7 +139,7 @@
 	if !e.removed {
 		d.logEvent(e.Endpoint, "endpoint_gone")
 		if d.onRemoved != nil {
-			d.onRemoved(e.ID, e.Leaving)
+			d.onRemoved(e.ID, d.leaves(e))
 		}
 	}
 	e.Leaving, e.removed = true, true
@@ -146,9 +152,7 @@
 func (d *directory) drop(e *endpoint) {
 	delete(d.byID, e.ID)
 	delete(d.unreadable, e.ID)
-	if d.limits.Knows(string(e.ID)) {
-		d.metrics.dropEndpoint(e.ID)
-	}
+	d.metrics.dropEndpoint(e.ID)
 	d.limits.Forget(string(e.ID))
 }
 
@@ -243,7 +247,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, e := range d.byID {
-		if e.Addr == addr && !e.Leaving {
+		if e.Addr == addr && !d.leaves(e) {
 			return true
 		}
 	}
@@ -254,6 +258,11 @@
 func (d *directory) isLeaving(e *endpoint) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.leaves(e)
+}
+
+// leaves reports whether an endpoint leaves. The caller holds mu.
+func (d *directory) leaves(e *endpoint) bool {
 	return e.Leaving
 }
 
@@ -310,7 +319,7 @@
 // onlyHolder reports whether no other endpoint holds a model. The caller holds mu.
 func (d *directory) onlyHolder(e *endpoint, model string) bool {
 	for _, o := range d.byID {
-		if o != e && !o.Leaving && o.holds(fleet.Want{Model: model}) {
+		if o != e && !d.leaves(o) && o.holds(fleet.Want{Model: model}) {
 			return false
 		}
 	}
--- a/internal/app/gateway/endpoint.go
+++ b/internal/app/gateway/endpoint.go
@@ -44,6 +44,8 @@
 	reasonAllFull          refusalReason = "all_full"         // all that hold it are full
 	reasonAllTried         refusalReason = "all_tried"        // all that hold it were tried
 	reasonAtLimit          refusalReason = "at_limit"         // those that hold it take no more requests a second
+	reasonPaused           refusalReason = "paused"           // those that hold it have asked for a pause
+	reasonRetryBudget      refusalReason = "retry_budget"     // it was sent already, and the budget for further sends is used up
 	reasonLoadedLate       refusalReason = "loaded_late"      // none holds the model, and none will within the time that the request may wait
 	reasonQuarantined      refusalReason = "quarantined"      // endpoints ended while they ran it
 	reasonStopping         refusalReason = "stopping"         // this entry stops before an answer could be complete
@@ -56,7 +58,7 @@
 
 // closerReason returns the reason of the endpoint that was closer to taking the request.
 func closerReason(a, b refusalReason) refusalReason {
-	order := map[refusalReason]int{reasonNoEndpoint: 0, reasonNotLoaded: 1, reasonAllFull: 2, reasonAllTried: 3, reasonAtLimit: 4}
+	order := map[refusalReason]int{reasonNoEndpoint: 0, reasonNotLoaded: 1, reasonAllFull: 2, reasonAllTried: 3, reasonPaused: 4, reasonAtLimit: 5}
 	if order[b] > order[a] {
 		return b
 	}
@@ -127,6 +129,8 @@
 	succeeded     attemptOutcome = iota + 1 // answered without a failure
 	failed                                  // the endpoint failed to answer it
 	full                                    // refused for lack of capacity
+	turnedAway                              // refused with a pause, which the directory keeps
+	withheld                                // not sent: the endpoint has asked for a pause, or leaves
 	modelMissing                            // does not hold the model
 	notConnected                            // no connection was made
 	wrongEndpoint                           // another process has the address
--- a/internal/app/gateway/endpointlimits.go
+++ b/internal/app/gateway/endpointlimits.go
@@ -177,6 +177,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.limits.SetEntries(n)
+	d.notices.SetEntries(n)
 }
 
 func (d *directory) permitsPending() bool {
@@ -228,6 +229,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.limits.Done(w)
+	delete(d.waiters, w)
 }
 
 // limitState is what an entry knows of a limited endpoint, for logs.
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -53,6 +53,8 @@
 	reason          refusalReason      // why it could not be sent
 	modelETA        time.Duration      // time until its model is loaded, if it was refused for that
 	limit           limitState         // the limit for which it waited or was refused
+	pause           pauseState         // the same of a pause
+	waiter          *allowance.Waiter  // with which the last endpoint was acquired
 	fpKnown         bool               // fp is set
 	fp              poison.Fingerprint // identifies the request by its content
 	firstByte       time.Duration      // time until the first byte of the answer
@@ -141,12 +143,12 @@
 			return x.outcomeSoFar()
 		}
 		if x.reachedSends > 0 && !x.takeRetry() {
-			x.g.dir.release(e, x.info.Want, abandoned)
-			x.reason = "retry_budget"
+			x.giveBack(e)
+			x.reason = reasonRetryBudget
 			return x.outcomeSoFar()
 		}
 		if x.standing().Quarantined {
-			x.g.dir.release(e, x.info.Want, abandoned)
+			x.giveBack(e)
 			return x.outcomeSoFar()
 		}
 		x.sends++
@@ -156,12 +158,24 @@
 			x.reachedSends++
 		}
 		x.g.dir.release(e, x.info.Want, res.outcome)
+		if res.notSent {
+			x.g.dir.returnPermit(e, x.waiter)
+		}
+		if res.outcome == withheld {
+			x.sends--
+		}
 		if f, over := x.afterAttempt(ctx, e, res); over {
 			return f
 		}
 	}
 }
 
+// giveBack ends a request at an endpoint that it is not sent to after all.
+func (x *exchange) giveBack(e *endpoint) {
+	x.g.dir.release(e, x.info.Want, abandoned)
+	x.g.dir.returnPermit(e, x.waiter)
+}
+
 // takeRetry takes one more send from the retry budget, which bounds arrivals at endpoints.
 // Sends that reached no endpoint do not count. Otherwise, when a quarter of 180 engines
 // crash at once, hundreds of requests are refused because dials to dead endpoints have
@@ -196,7 +210,9 @@
 		return x.outcomeSoFar(), true
 	}
 	if res.notRun {
-		if res.outcome != modelMissing {
+		switch res.outcome {
+		case modelMissing, turnedAway, withheld: // the endpoint may take it later
+		default:
 			x.tried[e.ID] = true
 		}
 		return 0, false
@@ -217,6 +233,7 @@
 	maxWait := x.maxWait(begin)
 	waits := false
 	w := &allowance.Waiter{Priority: x.requester.priority(x.route), Since: x.arrived}
+	x.waiter = w
 	defer func() {
 		x.g.dir.endWait(w)
 		if waits {
@@ -248,11 +265,15 @@
 			continue
 		}
 		reason := short.reason
-		x.reason, x.limit = reason, short.limit
+		x.reason, x.limit, x.pause = reason, short.limit, short.pause
 		if short.onlyLimits && x.limit.known && fleet.WaitsInVain(x.limit.expected, maxWait-time.Since(begin), waits) {
 			x.g.demands.recordDeferred(x.info.Want)
 			return nil
 		}
+		if short.onlyPauses && fleet.WaitsInVain(x.afterPause(), maxWait-time.Since(begin), waits) {
+			x.g.demands.recordDeferred(x.info.Want)
+			return nil
+		}
 		if reason == reasonAllTried && x.info.Want.Model == "" {
 			return nil // every endpoint has been tried
 		}
@@ -265,7 +286,7 @@
 			waits = true
 			x.g.demands.beginWait(x.info.Want, x)
 			x.g.cfg.Log.Info().Str("request", x.info.ID).Str("service", x.service).Str("model", x.info.Want.Model).Str("adapter", x.info.Want.Adapter).
-				Str("reason", string(reason)).Str("limited", string(x.limit.endpoint)).Dur("left", time.Until(x.deadline)).Dur("hold", maxWait).Dur("list_age", x.g.dir.listAge()).Msg("request_waits")
+				Str("reason", string(reason)).Str("limited", string(x.limit.endpoint)).Str("paused", string(x.pause.endpoint)).Dur("left", time.Until(x.deadline)).Dur("hold", maxWait).Dur("list_age", x.g.dir.listAge()).Msg("request_waits")
 		}
 		select {
 		case <-short.changed:
@@ -295,6 +316,20 @@
 	return x.modelETA > 0 && !fleet.ReadyInTime(x.modelETA, maxWait)
 }
 
+// afterPause returns how long it takes until the request can be sent to an endpoint that pauses, or
+// to another one that will hold its model before.
+func (x *exchange) afterPause() time.Duration {
+	now := time.Now()
+	left := max(x.pause.expected.Sub(now), 0)
+	if x.info.Want.Model == "" {
+		return left
+	}
+	if eta := x.g.dir.modelETA(now, x.info.Want.Model); eta > 0 {
+		return min(left, eta)
+	}
+	return left
+}
+
 // maxWait returns how long the request may wait for an endpoint from now on.
 func (x *exchange) maxWait(now time.Time) time.Duration {
 	return fleet.MaxWait(x.deadline.Sub(now), x.route.SilenceLimit, now.Sub(x.arrived))
@@ -341,6 +376,8 @@
 		if x.limit.known {
 			after = fleet.RetryAfterReady(x.limit.expected, rand.Int64N)
 		}
+	case reasonPaused:
+		after = fleet.RetryAfterReady(x.afterPause(), rand.Int64N)
 	case reasonQuarantined:
 		after = x.standing().Left
 	case reasonOverAllowance, reasonAllowanceUnknown:
@@ -391,6 +428,10 @@
 		l := x.limit
 		ev.Str("limited", string(l.endpoint)).Float64("rate", l.rate).Dur("limit_age", l.age).Dur("expected", l.expected).Bool("expected_known", l.known).Bool("silent", l.silent)
 	}
+	if x.reason == reasonPaused {
+		p := x.pause
+		ev.Str("paused", string(p.endpoint)).Dur("asked", p.asked).Str("asked_by", p.request).Dur("pause_age", time.Since(p.at)).Dur("expected", time.Until(p.expected))
+	}
 	if x.reason == reasonLoadedLate {
 		ev.Dur("ready", x.modelETA)
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -220,6 +220,7 @@
 		case <-t.C:
 			g.pool.Sweep(g.dir.knowsAddr)
 			g.suspects.sweep(time.Now())
+			g.dir.pruneNotices(time.Now())
 		}
 	}
 }
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -55,7 +55,13 @@
 }
 
 func (testDialect) ReadAnswer(_ string, status int, h http.Header) AnswerFields {
-	return AnswerFields{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", ModelMissing: status == http.StatusMisdirectedRequest}
+	a := AnswerFields{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", ModelMissing: status == http.StatusMisdirectedRequest}
+	a.Leaving.Leaving = h.Get("Leaving") == "1"
+	if v := h.Get("Retry-After"); v != "" {
+		s, err := strconv.ParseFloat(v, 64)
+		a.Pause = NamedPause{Named: true, Readable: err == nil, For: time.Duration(s * float64(time.Second)), Text: v}
+	}
+	return a
 }
 
 // fakeEndpoint is an endpoint controlled by a test, on a raw socket.
--- a/internal/app/gateway/syncer.go
+++ b/internal/app/gateway/syncer.go
@@ -171,6 +171,7 @@
 		s.g.dir.replace(r.Term, r.Rev, *r.Endpoints)
 	}
 	s.g.dir.mergeLimits(r.Term, asked, r.Limits)
+	s.g.dir.advisePauses(r.Pauses)
 	s.g.dir.setETAs(time.Now(), r.Delta, r.Endpoints != nil || len(r.ETAs) > 0, r.ETAs)
 	if r.ListUsual > 0 {
 		s.leaderListAge.Store(int64(r.ListUsual))
@@ -345,6 +346,8 @@
 			time.Sleep(reportDelay)
 		case <-s.g.suspects.urgent:
 			time.Sleep(reportDelay)
+		case <-s.g.dir.noticed:
+			time.Sleep(reportDelay)
 		}
 		s.reportOnce(ctx)
 	}
@@ -356,9 +359,10 @@
 		return // what waits is reported again when there is a leader
 	}
 	p := wire.TellParams{Host: s.g.cfg.Host, Demands: s.g.demands.report(time.Now()), Uses: s.g.dir.reportUses()}
+	p.Notices = s.g.dir.noticeReports(time.Now())
 	p.Ends, p.Answered = s.g.suspects.report(time.Now(), s.reportedOn != conn)
 	s.reportedOn = conn
-	idle := len(p.Demands)+len(p.Uses)+len(p.Ends)+len(p.Answered) == 0
+	idle := len(p.Demands)+len(p.Uses)+len(p.Notices)+len(p.Ends)+len(p.Answered) == 0
 	if idle && s.idleReportedOn == conn {
 		// An empty report is sent once on a connection. 370 idle entries that repeat
 		// it five times a second each would cost the leader 7 % of a core. On another
--- a/internal/core/allowance/permitclient.go
+++ b/internal/core/allowance/permitclient.go
@@ -64,6 +64,7 @@
 	seq      uint64 // increases with each wait
 	brief    bool
 	counted  bool // in the demand for the endpoint that was chosen first
+	granted  bool // it has used a permit of the leader
 }
 
 // Endpoint returns the endpoint at which the request waits; "" if it waits at none.
@@ -187,6 +188,7 @@
 	ahead := e.aheadOf(endpoint, w)
 	if e.held(now) > ahead {
 		e.use()
+		w.granted = true
 		return true
 	}
 	return c.silent && ahead == 0 && c.spendFallback(now, e)
@@ -290,6 +292,18 @@
 	w.endpoint, w.brief = "", false
 }
 
+// Return returns the permit that a request has taken and does not use. One of the fallback rate is
+// not returned: it may have been drawn.
+func (c *PermitClient) Return(endpoint string, w *Waiter) {
+	if e := c.endpoints[endpoint]; e != nil && w.granted {
+		e.expired++
+	}
+	w.granted = false
+}
+
+// Before reports whether a request gets what both wait for before another one.
+func (w *Waiter) Before(o *Waiter) bool { return w.compare(o) < 0 }
+
 // Expect returns how long a request would wait for a permit at an endpoint; false if that is
 // not known.
 func (c *PermitClient) Expect(now time.Time, endpoint string, w *Waiter) (time.Duration, bool) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/notice"
 	"github.com/cassiapass/cassiapass/internal/core/placement"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/record"
@@ -325,6 +326,8 @@
 	Suspects   *Suspects          `json:"suspects,omitempty"`
 	// Limits are what endpoints that the entry may need said of their limits.
 	Limits []allowance.EndpointStatement `json:"limits,omitempty"`
+	// Pauses are those that other entries were asked for by endpoints that the entry may need.
+	Pauses []notice.Advice `json:"pauses,omitempty"`
 }
 
 // TellParams reports the waiting and running requests of an entry.
@@ -336,6 +339,8 @@
 	// are suspect requests that were answered without ending an endpoint.
 	Ends     []poison.End         `json:"ends,omitempty"`
 	Answered []poison.Fingerprint `json:"answered,omitempty"`
+	// Notices are what endpoints asked of the entry and is in force.
+	Notices []notice.Report `json:"notices,omitempty"`
 }
 
 // AllowanceParams reports the use of customers with an allowance at an entry.
