gateway: an endpoint that says it leaves gets no further requests

What callers would see: nothing while the endpoint serves on; once it is gone, requests sent to it until the list says so end in doubt. The endpoint got requests from every entry for as long as it stayed.

Cause: nobody read Server-Leaving; only the platform's list, which lags, and which replaced whatever an entry knew with each update.

Change: the head of an answer is recorded in core/notice, by start of the endpoint. No list, drop, leader or later answer lifts it; another start under the same id or address has said nothing. What runs there goes on.

--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -261,9 +261,10 @@
 	return d.leaves(e)
 }
 
-// leaves reports whether an endpoint leaves. The caller holds mu.
+// leaves reports whether an endpoint leaves, by the list or by its own word, which no list
+// lifts. The caller holds mu.
 func (d *directory) leaves(e *endpoint) bool {
-	return e.Leaving
+	return e.Leaving || d.notices.Leaves(string(e.ID))
 }
 
 // release ends a request at an endpoint and records its outcome.
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -103,6 +103,11 @@
 	m.set.GetOrCreateGauge(noticeMetric("pause_seconds", id), left)
 }
 
+// recordLeaving shows that an endpoint has said that it leaves.
+func (m *metrics) recordLeaving(id fleet.EndpointID) {
+	m.set.GetOrCreateGauge(noticeMetric("leaving", id), nil).Set(1)
+}
+
 // countWithheld counts a request that was not sent to the endpoint that was chosen for it.
 func (m *metrics) countWithheld(id fleet.EndpointID) {
 	m.set.GetOrCreateCounter(noticeMetric("sends_withheld_total", id)).Inc()
--- a/internal/app/gateway/notices.go
+++ b/internal/app/gateway/notices.go
@@ -28,15 +28,27 @@
 	expected time.Time        // when the request in question may
 }
 
-// observeNotices records what the head of an answer says of pauses. What an answer of
+// observeNotices records what the head of an answer says of pauses and leaving. What an answer of
 // another process at the address says does not concern the endpoint.
 func (d *directory) observeNotices(e *endpoint, v AnswerFields) {
-	if v.WrongEndpoint || !v.Pause.asks() {
+	if v.WrongEndpoint || !v.Leaving.Leaving && v.Leaving.Unreadable == "" && !v.Pause.Named {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h := notice.Heard{At: time.Now(), Request: v.ID}
+	if v.Leaving.Unreadable != "" {
+		d.logUnreadable(e.ID, "leaving", v.Leaving.Unreadable)
+	}
+	if v.Leaving.Leaving && d.notices.LeavingHeard(h, string(e.ID)) {
+		d.log.Info().Str("endpoint", string(e.ID)).Str("request", v.ID).Bool("listed_leaving", e.Leaving).Int("mine", e.ownRunning).Msg("endpoint_says_it_leaves")
+		d.metrics.recordLeaving(e.ID)
+		d.signalNotice()
+		d.wakeLocked() // requests may wait for it
+	}
+	if !v.Pause.asks() {
+		return
+	}
 	if !v.Pause.Readable {
 		d.logUnreadable(e.ID, "pause", v.Pause.Text)
 	}
--- a/internal/app/gateway/notices_test.go
+++ b/internal/app/gateway/notices_test.go
@@ -169,3 +169,51 @@
 	g.dir.observeNotices(e, AnswerFields{WrongEndpoint: true, Pause: NamedPause{Named: true, Readable: true, For: time.Hour}})
 	is.True(g.dir.pauseLeft("e0") <= time.Second) // said by another process at the address
 }
+
+// Guards against a list, an unrelated answer or another leader that make an entry forget that an
+// endpoint leaves.
+func TestListsDoNotLiftLeaving(t *testing.T) {
+	is := is.New(t)
+	b := newFakeEndpoint(t, answerOK)
+	g := startGateway(t, b)
+	e, _ := acquireAt(g, time.Now(), &allowance.Waiter{})
+	g.dir.observeNotices(e, AnswerFields{WrongEndpoint: true, Leaving: NamedLeaving{Leaving: true}})
+	is.True(!g.dir.isLeaving(e)) // another process at the address said so
+	g.dir.observeNotices(e, AnswerFields{Leaving: NamedLeaving{Leaving: true}})
+	_, reason := g.dir.beginSend(e)
+	is.Equal(reason, notice.Leaving) // it was chosen before
+	g.dir.release(e, fleet.Want{}, withheld)
+	g.dir.observeNotices(e, AnswerFields{}) // an answer that does not say so may be older
+	g.dir.update(1, 2, listed(b), nil)
+	g.dir.applyList(time.Now(), listed(b))
+	g.dir.update(1, 3, nil, []fleet.EndpointID{"e0"})
+	g.dir.pruneNotices(time.Now())
+	g.dir.replace(2, 1, listed(b))
+	e, _ = acquireAt(g, time.Now(), &allowance.Waiter{})
+	is.True(e == nil)
+	again := listed(b)
+	again[0].ID = "e0@2"
+	g.dir.replace(2, 2, again)
+	e, _ = acquireAt(g, time.Now(), &allowance.Waiter{})
+	is.True(e != nil)
+}
+
+// Guards against a stream that breaks off because its endpoint says in the head that it leaves.
+func TestStreamAtALeavingEndpointGoesOn(t *testing.T) {
+	is := is.New(t)
+	b := newFakeEndpoint(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nLeaving: 1\r\nContent-Length: 23\r\n\r\nid: 1\ndata: a", r.Header.Get("Id"))
+		time.Sleep(300 * time.Millisecond)
+		_, _ = fmt.Fprint(c, "\n\nid: 2\n\n\n")
+		return true
+	})
+	g := startGateway(t, b)
+	a := dial(t, g).ask("GET", "/stream/x", "r", "")
+	is.Equal(a.status, 200)
+	is.NoErr(a.err)
+	is.True(g.dir.isLeaving(g.dir.byID["e0"]))
+	begin := time.Now()
+	is.Equal(dial(t, g).ask("GET", "/safe/x", "r2", "").status, http.StatusServiceUnavailable)
+	is.True(time.Since(begin) < 1500*time.Millisecond)
+	is.Equal(b.arrivals(), 1)
+}
