controller, core/fleet: what endpoints ask of one entry reaches the leader, the planner and all entries

Cause: an endpoint tells the entry that it answers; nobody else learned of it before the platform's list did. A leaving endpoint got requests from all other entries (18 in the second that begins half a second after the first answer), and its models counted as held.

Change: entries report at once, and in each report while it holds; the leader keeps a summary by entry. Leaving binds all, by start, whatever the list says; so does what an engine's own report says. A pause of others is advice: such an endpoint is chosen after the rest, and the number of entries spreads their first requests. For the planner an engine that pauses or leaves takes no work, and from a second on its models count as short. Old control hosts and entries ignore the new members of the messages.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -14,6 +14,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/holder"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/notice"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/port"
@@ -126,9 +127,12 @@
 	unpublished    bool                 // some changes are not published to all entries yet
 	demandLogged   time.Time            // when demand was last logged
 
-	limitsPublished time.Time // last update of the published limits
-	limited         int       // endpoints whose limits were known then
-	unreadable      int       // unreadable entries of the list, as last logged
+	notices         *notice.Summary // what endpoints asked of entries
+	noticed         int             // endpoints in it, as last published
+	leavingLogged   map[string]bool // endpoints whose word that they leave was logged
+	limitsPublished time.Time       // last update of the published limits
+	limited         int             // endpoints whose limits were known then
+	unreadable      int             // unreadable entries of the list, as last logged
 	etas            fleet.ETATable
 	etasUpdated     time.Time // when etas was last updated
 }
@@ -240,6 +244,7 @@
 	c.listStarted, c.listOK = time.Time{}, false
 	c.entries = map[string]time.Time{}
 	c.etas = fleet.ETATable{}
+	c.notices, c.noticed, c.leavingLogged = notice.NewSummary(), 0, map[string]bool{}
 	c.cfg.Log.Info().Uint64("term", term).Msg("fleet_duties_begun")
 	c.pub.startLeading(term)
 	c.allow.startLeading()
@@ -260,6 +265,7 @@
 	}
 	c.updateHolding(now)
 	c.commitDueQuarantines(now)
+	c.publishNotices(now)
 	if c.listOK && c.fencedTerm != c.term && c.holding.recorded {
 		c.execute(c.planner.Plan(now))
 		c.met.observePlan(time.Since(now))
--- a/internal/app/controller/publisher.go
+++ b/internal/app/controller/publisher.go
@@ -10,6 +10,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/limit"
+	"github.com/cassiapass/cassiapass/internal/core/notice"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/wire"
 )
@@ -28,6 +29,8 @@
 	limits        map[string]map[fleet.EndpointID]allowance.Statement // by the models that the endpoints hold, as loads
 	interests     fleet.Interests                                     // models that entries ask for
 	etas          map[string]publishedETA                             // model to its last published ETA
+	pauses        map[string]map[fleet.EndpointID]publishedPause      // by the models that the endpoints hold, as loads
+	notices       []notice.Status                                     // of all endpoints
 	suspects      wire.Suspects                                       // requests under which endpoints ended; zero until published
 	entries       int                                                 // live entries
 	listRead      time.Time                                           // start of the last read of the platform's list
@@ -94,6 +97,7 @@
 	pub.eps, pub.removed = map[fleet.EndpointID]publishedEndpoint{}, map[fleet.EndpointID]uint64{}
 	pub.etas = map[string]publishedETA{}
 	pub.loads, pub.limits, pub.interests = nil, nil, fleet.Interests{}
+	pub.pauses, pub.notices = nil, nil
 	pub.suspects = wire.Suspects{}
 	pub.link, pub.slots = limit.NewMeter(pub.perSecond), map[ident.HostID]time.Time{}
 }
@@ -313,24 +317,29 @@
 	pub.mu.Lock()
 	defer pub.mu.Unlock()
 	pub.limits = map[string]map[fleet.EndpointID]allowance.Statement{}
-	add := func(model string, id fleet.EndpointID, s allowance.Statement) {
-		if pub.limits[model] == nil {
-			pub.limits[model] = map[fleet.EndpointID]allowance.Statement{}
-		}
-		pub.limits[model][id] = s
-	}
 	for name, s := range statements {
-		id := fleet.EndpointID(name)
-		e, known := pub.eps[id]
-		if !known {
-			continue
-		}
-		if len(e.ep.Held) == 0 {
-			add("", id, s)
-		}
-		for _, h := range e.ep.Held {
-			add(h.Model, id, s)
+		addByModel(pub, pub.limits, fleet.EndpointID(name), s)
+	}
+}
+
+// addByModel adds a value of an endpoint to values by the models that the endpoint holds; under ""
+// if it holds none. The caller holds mu.
+func addByModel[V any](pub *publisher, to map[string]map[fleet.EndpointID]V, id fleet.EndpointID, v V) {
+	e, known := pub.eps[id]
+	if !known {
+		return
+	}
+	add := func(model string) {
+		if to[model] == nil {
+			to[model] = map[fleet.EndpointID]V{}
 		}
+		to[model][id] = v
+	}
+	if len(e.ep.Held) == 0 {
+		add("")
+	}
+	for _, h := range e.ep.Held {
+		add(h.Model)
 	}
 }
 
@@ -395,7 +404,7 @@
 	} else {
 		r.ListAge = -1
 	}
-	r.Limits = pub.limitsFor(time.Now(), p.Host)
+	r.Limits, r.Pauses = pub.limitsFor(time.Now(), p.Host), pub.pausesFor(time.Now(), p.Host)
 	missing := pub.isBehind(p)
 	if missing {
 		pub.addChanges(&r, p.Term, p.Rev)
--- a/internal/core/fleet/engine.go
+++ b/internal/core/fleet/engine.go
@@ -31,8 +31,10 @@
 	backoffUntil    time.Time   // not used before then
 	running         int
 	runningByWant   map[Want]int
-	newestLoad      lastLoad // the newest load that was ordered
-	limit           float64  // requests a second that it takes from all entries; 0 if it names none
+	newestLoad      lastLoad  // the newest load that was ordered
+	limit           float64   // requests a second that it takes from all entries; 0 if it names none
+	saysLeaving     bool      // it has told an entry that it leaves
+	pausedUntil     time.Time // the latest end of the pauses that it asked entries for
 }
 
 // held is one model that an engine holds.
@@ -177,7 +179,7 @@
 
 // usable reports whether the engine may be given work now.
 func (e *engine) usable(now time.Time) bool {
-	return !e.ep.Leaving && !now.Before(e.backoffUntil)
+	return !e.ep.Leaving && !now.Before(e.backoffUntil) && !now.Before(e.pausedUntil)
 }
 
 // setCopies updates where the engine keeps weights.
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -181,10 +181,7 @@
 			continue
 		}
 		e.ep.StartedAt = ep.StartedAt
-		if e.ep.Leaving != ep.Leaving {
-			e.ep.Leaving, p.changed = ep.Leaving, true
-			e.needsReport = true // its report contains how long it stays
-		}
+		p.setLeaving(e, ep.Leaving)
 		if ep.Unreported {
 			continue
 		}
@@ -205,6 +202,9 @@
 	}
 }
 
+// Knows reports whether an engine is listed.
+func (p *Planner) Knows(id EndpointID) bool { return p.engines[id] != nil }
+
 // byName returns the engines by their names on the platform.
 func (p *Planner) byName() map[string]*engine {
 	out := make(map[string]*engine, len(p.engines))
--- a/internal/core/fleet/results.go
+++ b/internal/core/fleet/results.go
@@ -165,6 +165,10 @@
 	case e.ep.StartedAt == 0 && r.StartedAt != 0:
 		e.ep.StartedAt = r.StartedAt
 	}
+	if r.Leaving {
+		e.saysLeaving = true
+		p.setLeaving(e, true)
+	}
 	if r.Sequence < e.sequence {
 		// It was made before the newest order was accepted. Used as the current state, it
 		// would hide a model that was loaded since, and the next load would overfill the
--- a/internal/core/fleet/survey.go
+++ b/internal/core/fleet/survey.go
@@ -48,7 +48,7 @@
 		}
 		for name := range e.held {
 			s.holding[name] = append(s.holding[name], e)
-			if !e.ep.Leaving && !e.unloading(Want{Model: name}) {
+			if e.serves(now) && !e.unloading(Want{Model: name}) {
 				s.holders[name]++
 			}
 		}
