core/notice, gateway: endpoints that turn requests away without a time are asked less and less

Cause: 50 ms after each refusal such an endpoint looked like the least loaded one, and its models counted as held, so that no other engine loaded them.

Change: the time doubles with each refusal in succession up to 1.6 s, until the endpoint takes a request; from the third on it returns by the same slope as after a pause, and the leader is told: the planner counts its models as short. A request whose holders all pause or have turned it away waits for another engine for a cold start at most, or until the time that the leader foretells.

--- a/internal/app/controller/notices.go
+++ b/internal/app/controller/notices.go
@@ -27,7 +27,7 @@
 	}
 	notices := make(map[fleet.EndpointID]fleet.Notice, len(all))
 	for _, s := range all {
-		n := fleet.Notice{Leaving: s.Leaving}
+		n := fleet.Notice{Leaving: s.Leaving, Refusing: len(s.Refusing) > 0}
 		if s.Pause > 0 {
 			n.PausedUntil = now.Add(s.Pause)
 		}
--- a/internal/app/ctl/notices.go
+++ b/internal/app/ctl/notices.go
@@ -17,9 +17,9 @@
 		return err
 	}
 	return x.cli.print(all, func() {
-		x.cli.table("ENDPOINT\tPAUSE LEFT\tASKED OF\tLEAVING\tHEARD BY", func(add func(string, ...any)) {
+		x.cli.table("ENDPOINT\tPAUSE LEFT\tASKED OF\tREFUSES\tLEAVING\tHEARD BY", func(add func(string, ...any)) {
 			for _, s := range all {
-				add("%s\t%.1f s\t%s\t%t\t%s", s.Endpoint, s.Pause.Seconds(), strings.Join(s.Paused, " "), s.Leaving, strings.Join(s.HeardBy, " "))
+				add("%s\t%.1f s\t%s\t%s\t%t\t%s", s.Endpoint, s.Pause.Seconds(), strings.Join(s.Paused, " "), strings.Join(s.Refusing, " "), s.Leaving, strings.Join(s.HeardBy, " "))
 			}
 		})
 	})
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -23,6 +24,8 @@
 	// minTimeLeft is the remaining time below which nothing is sent any more: not
 	// even an idle endpoint answers within it.
 	minTimeLeft = 20 * time.Millisecond
+	// maxRetryAfter bounds the time after which a refused caller should retry.
+	maxRetryAfter = time.Hour
 	// maxSends bounds how often one request is sent, however often endpoints
 	// report that they did not run it.
 	maxSends = 5
@@ -270,12 +273,15 @@
 			x.g.demands.recordDeferred(x.info.Want)
 			return nil
 		}
-		if short.onlyPauses && fleet.WaitsInVain(x.afterPause(), maxWait-time.Since(begin), waits) {
-			x.g.demands.recordDeferred(x.info.Want)
-			return nil
-		}
-		if reason == reasonAllTried && x.info.Want.Model == "" {
-			return nil // every endpoint has been tried
+		if short.onlyPauses || reason == reasonAllTried {
+			soonest := x.soonest(time.Since(begin))
+			if fleet.WaitsInVain(soonest, maxWait-time.Since(begin), waits) {
+				x.g.demands.recordDeferred(x.info.Want)
+				return nil
+			}
+			timer.Reset(min(maxWait-time.Since(begin), max(soonest, minWakeGap)))
+		} else {
+			timer.Reset(maxWait - time.Since(begin))
 		}
 		if reason == reasonNotLoaded && x.loadsTooLate(maxWait-time.Since(begin)) {
 			x.reason = reasonLoadedLate
@@ -291,7 +297,9 @@
 		select {
 		case <-short.changed:
 		case <-timer.C:
-			return nil
+			if time.Since(begin) >= maxWait {
+				return nil
+			}
 		case <-ctx.Done():
 			return nil
 		}
@@ -316,18 +324,26 @@
 	return x.modelETA > 0 && !fleet.ReadyInTime(x.modelETA, maxWait)
 }
 
-// afterPause returns how long it takes until the request can be sent to an endpoint that pauses, or
-// to another one that will hold its model before.
-func (x *exchange) afterPause() time.Duration {
+// soonest returns how long it takes at least until an endpoint takes the request, while those that
+// hold its model pause or have been tried: the pause that ends first, or the time in which another
+// endpoint can hold the model. waited is how long the request has waited.
+func (x *exchange) soonest(waited time.Duration) time.Duration {
 	now := time.Now()
-	left := max(x.pause.expected.Sub(now), 0)
+	soonest := time.Duration(math.MaxInt64)
+	if x.pause.endpoint != "" {
+		soonest = max(x.pause.expected.Sub(now), 0)
+	}
 	if x.info.Want.Model == "" {
-		return left
+		return soonest
 	}
-	if eta := x.g.dir.modelETA(now, x.info.Want.Model); eta > 0 {
-		return min(left, eta)
+	eta := x.g.dir.modelETA(now, x.info.Want.Model)
+	switch {
+	case eta > 0:
+		return min(soonest, eta)
+	case waited < fleet.ReplicaWait:
+		return min(soonest, fleet.ReplicaWait-waited)
 	}
-	return left
+	return soonest
 }
 
 // maxWait returns how long the request may wait for an endpoint from now on.
@@ -377,7 +393,7 @@
 			after = fleet.RetryAfterReady(x.limit.expected, rand.Int64N)
 		}
 	case reasonPaused:
-		after = fleet.RetryAfterReady(x.afterPause(), rand.Int64N)
+		after = fleet.RetryAfterReady(min(x.soonest(fleet.ReplicaWait), maxRetryAfter), rand.Int64N)
 	case reasonQuarantined:
 		after = x.standing().Left
 	case reasonOverAllowance, reasonAllowanceUnknown:
@@ -430,7 +446,7 @@
 	}
 	if x.reason == reasonPaused {
 		p := x.pause
-		ev.Str("paused", string(p.endpoint)).Dur("asked", p.asked).Str("asked_by", p.request).Dur("pause_age", time.Since(p.at)).Dur("expected", time.Until(p.expected))
+		ev.Str("paused", string(p.endpoint)).Stringer("kind", p.reason).Dur("asked", p.asked).Str("asked_by", p.request).Dur("pause_age", time.Since(p.at)).Dur("expected", time.Until(p.expected))
 	}
 	if x.reason == reasonLoadedLate {
 		ev.Dur("ready", x.modelETA)
--- a/internal/app/gateway/notices.go
+++ b/internal/app/gateway/notices.go
@@ -21,11 +21,12 @@
 // pauseState is what an entry knows of a pause, for decisions and logs.
 type pauseState struct {
 	endpoint fleet.EndpointID // "" if there is none
-	asked    time.Duration    // as the endpoint said
-	request  string           // whose answer said it
-	at       time.Time        // when that was read
-	until    time.Time        // when the next request may be sent there
-	expected time.Time        // when the request in question may
+	reason   notice.Reason
+	asked    time.Duration // as the endpoint said; 0 if it named no time
+	request  string        // whose answer said it
+	at       time.Time     // when that was read
+	until    time.Time     // when the next request may be sent there
+	expected time.Time     // when the request in question may
 }
 
 // observeNotices records what the head of an answer says of pauses and leaving. What an answer of
@@ -92,14 +93,14 @@
 func (d *directory) paused(now time.Time, e *endpoint, w *allowance.Waiter, s *pauseState) bool {
 	id := string(e.ID)
 	st := d.notices.State(now, id)
-	if st.Pause.At.IsZero() || now.After(st.Pause.Until.Add(notice.RampLength)) {
+	if st.Reason == notice.None && !d.notices.Pacing(id) {
 		return false
 	}
 	ahead := d.waitersAhead(e, w)
-	if st.Reason == notice.None && (ahead == 0 || !d.notices.Pacing(id)) {
+	if st.Reason == notice.None && ahead == 0 {
 		return false
 	}
-	p := pauseState{endpoint: e.ID, asked: st.Pause.For, request: st.Pause.Request, at: st.Pause.At, until: st.Until, expected: d.notices.Expect(now, id, ahead)}
+	p := pauseState{endpoint: e.ID, reason: st.Reason, asked: st.Pause.For, request: st.Pause.Request, at: st.Pause.At, until: st.Until, expected: d.notices.Expect(now, id, ahead)}
 	if s.endpoint == "" || p.expected.Before(s.expected) {
 		*s = p
 	}
--- a/internal/core/fleet/engine.go
+++ b/internal/core/fleet/engine.go
@@ -34,6 +34,7 @@
 	newestLoad      lastLoad  // the newest load that was ordered
 	limit           float64   // requests a second that it takes from all entries; 0 if it names none
 	saysLeaving     bool      // it has told an entry that it leaves
+	refusing        bool      // it turns requests of entries away and names no time
 	pausedUntil     time.Time // the latest end of the pauses that it asked entries for
 }
 
@@ -179,7 +180,7 @@
 
 // usable reports whether the engine may be given work now.
 func (e *engine) usable(now time.Time) bool {
-	return !e.ep.Leaving && !now.Before(e.backoffUntil) && !now.Before(e.pausedUntil)
+	return !e.ep.Leaving && !now.Before(e.backoffUntil) && !e.refusing && !now.Before(e.pausedUntil)
 }
 
 // setCopies updates where the engine keeps weights.
--- a/internal/core/fleet/notices.go
+++ b/internal/core/fleet/notices.go
@@ -5,6 +5,7 @@
 // Notice is what an engine asked of entries.
 type Notice struct {
 	Leaving     bool
+	Refusing    bool      // it turns requests away and names no time
 	PausedUntil time.Time // zero if it asked for no pause
 }
 
@@ -17,7 +18,7 @@
 func (p *Planner) SetNotices(notices map[EndpointID]Notice) {
 	for id, e := range p.engines {
 		n := notices[id]
-		e.pausedUntil = n.PausedUntil
+		e.pausedUntil, e.refusing = n.PausedUntil, n.Refusing
 		if n.Leaving && !e.saysLeaving {
 			e.saysLeaving = true
 			p.setLeaving(e, true)
@@ -36,5 +37,5 @@
 
 // serves reports whether an engine takes requests for the models that it holds, and goes on to.
 func (e *engine) serves(now time.Time) bool {
-	return !e.ep.Leaving && e.pausedUntil.Sub(now) < longPause
+	return !e.ep.Leaving && !e.refusing && e.pausedUntil.Sub(now) < longPause
 }
--- a/internal/core/fleet/wait.go
+++ b/internal/core/fleet/wait.go
@@ -21,6 +21,10 @@
 	queueShare = 0.25
 )
 
+// ReplicaWait is how long a request waits for another endpoint to hold its model while all that do
+// turn it away: a cold start, and the time in which the leader learns of them.
+const ReplicaWait = coldStart + 200*time.Millisecond
+
 // MaxWait returns how long a request may wait for an endpoint from now on. left is the time
 // left until its caller's limit, waitLimit the caller's wait limit for a silent stream, 0 if
 // it has none, and age the time since the request arrived.
--- a/internal/core/notice/book.go
+++ b/internal/core/notice/book.go
@@ -10,6 +10,13 @@
 	maxPause = time.Hour
 	// unreadablePause is kept for a time that cannot be read: the endpoint does want a pause.
 	unreadablePause = time.Second
+	// refusalPause is how long an endpoint that turned a request away and named no time gets
+	// none; it doubles with each further one, up to maxRefusalPause.
+	refusalPause    = 50 * time.Millisecond
+	maxRefusalPause = 1600 * time.Millisecond
+	// refusingFrom is the number of refusals in succession from which on an endpoint counts as
+	// one that takes nothing.
+	refusingFrom = 3
 	// leavingMemory is how long it is remembered that an endpoint that is no longer listed leaves.
 	// A list may lag, or a new leader may have an old one.
 	leavingMemory = time.Hour
@@ -24,12 +31,15 @@
 const (
 	None       Reason = iota
 	Paused            // it has asked for a pause
+	Refusing          // it has turned requests away and named no time
 	Recovering        // after a pause, as many requests as it should get now were sent
 	Leaving           // it has said that it leaves
 )
 
 // String returns the reason for logs.
-func (r Reason) String() string { return [...]string{"none", "paused", "recovering", "leaving"}[r] }
+func (r Reason) String() string {
+	return [...]string{"none", "paused", "refusing", "recovering", "leaving"}[r]
+}
 
 // Heard is one statement of an endpoint in an answer.
 type Heard struct {
@@ -47,7 +57,7 @@
 // State is what binds sends to an endpoint now.
 type State struct {
 	Reason Reason
-	// Until is when a request can be sent at the earliest, for Paused and Recovering.
+	// Until is when a request can be sent at the earliest, for Paused, Refusing and Recovering.
 	Until   time.Time
 	Pause   Pause // the last one
 	Leaving Heard // zero if it has not said that it leaves
@@ -65,11 +75,40 @@
 // record holds the statements of one incarnation of an endpoint.
 type record struct {
 	pause    Pause
+	refusals refusals
 	leaving  Heard
 	ramp     ramp
 	unlisted time.Time // since when it is not listed; zero while it is
 }
 
+// refusals are requests in succession that an endpoint turned away without naming a time.
+type refusals struct {
+	count int
+	until time.Time
+}
+
+// quietUntil returns until when no request should be sent.
+func (r *record) quietUntil() time.Time {
+	if r.refusals.until.After(r.pause.Until) {
+		return r.refusals.until
+	}
+	return r.pause.Until
+}
+
+// refused records a request that was turned away without a time. Several that were sent at the
+// same time count once.
+func (r *record) refused(now time.Time, drawn float64) {
+	if now.Before(r.quietUntil()) {
+		return
+	}
+	r.refusals.count++
+	length := min(refusalPause<<min(r.refusals.count-1, 10), maxRefusalPause)
+	if r.refusals.count >= refusingFrom {
+		r.ramp.restart(now, r.quietUntil(), drawn)
+	}
+	r.refusals.until = now.Add(length)
+}
+
 // NewBook returns a Book without statements. draw returns a random number from 0 to 1.
 func NewBook(draw func() float64) *Book {
 	return &Book{draw: draw, endpoints: map[string]*record{}, advice: map[string]advised{}}
@@ -101,7 +140,7 @@
 	if !p.Until.After(r.pause.Until) {
 		return false
 	}
-	r.ramp.restart(h.At, r.pause.Until, b.draw())
+	r.ramp.restart(h.At, r.quietUntil(), b.draw())
 	r.pause = p
 	return true
 }
@@ -128,6 +167,8 @@
 		s.Reason = Leaving
 	case now.Before(r.pause.Until):
 		s.Reason, s.Until = Paused, b.firstSend(r, id)
+	case now.Before(r.refusals.until):
+		s.Reason, s.Until = Refusing, b.firstSend(r, id)
 	default:
 		if at := r.ramp.next(now, b.firstSend(r, id)); at.After(now) {
 			s.Reason, s.Until = Recovering, at
@@ -143,7 +184,7 @@
 	if a, known := b.advice[id]; known {
 		sharers = a.entries
 	}
-	return r.pause.Until.Add(time.Duration(r.ramp.drawn * float64(firstSendSpread(sharers))))
+	return r.quietUntil().Add(time.Duration(r.ramp.drawn * float64(firstSendSpread(sharers))))
 }
 
 // Expect returns when a request can expect to be sent to an endpoint if others are sent before
@@ -184,7 +225,17 @@
 // SendEnded records how a send ended: taken if the endpoint began to answer without turning it
 // away, or turnedAway; neither if it was not sent or the connection broke.
 func (b *Book) SendEnded(now time.Time, id string, t Ticket, taken, turnedAway bool) {
-	if r := b.endpoints[id]; r != nil && t.restarts == r.ramp.restarts {
+	if turnedAway {
+		b.record(id).refused(now, b.draw())
+	}
+	r := b.endpoints[id]
+	if r == nil {
+		return
+	}
+	if taken && !now.Before(r.refusals.until) {
+		r.refusals.count = 0
+	}
+	if t.restarts == r.ramp.restarts {
 		r.ramp.ended(now, t.id, taken, turnedAway)
 	}
 }
@@ -216,7 +267,7 @@
 
 // forgettable reports whether nothing in the record binds a send any more.
 func (r *record) forgettable(now time.Time) bool {
-	if now.Before(r.pause.Until) || now.Before(r.pause.Until.Add(RampLength)) {
+	if now.Before(r.quietUntil().Add(RampLength)) {
 		return false
 	}
 	return r.leaving.At.IsZero() || !r.unlisted.IsZero() && now.Sub(r.unlisted) > leavingMemory
--- a/internal/core/notice/doc.go
+++ b/internal/core/notice/doc.go
@@ -8,6 +8,8 @@
 //   - A pause ends by time alone. The latest end that an answer named counts: a shorter pause
 //     that is named later does not cut it, and neither does an answer to a request that was sent
 //     before it.
+//   - An endpoint that turns requests away and names no time is asked less and less: the time
+//     doubles with each request that it turns away, until it takes one.
 //   - Leaving does not end: an answer that does not say so again may be older.
 //   - What the leader reports of other entries is advice. It binds the choice between
 //     endpoints, never Send, and it neither lifts nor shortens what was heard here.
--- a/internal/core/notice/notice_test.go
+++ b/internal/core/notice/notice_test.go
@@ -167,3 +167,27 @@
 	is.Equal(s.All(after(time.Second), all), []Status{{Endpoint: "f", Leaving: true, HeardBy: []string{"a"}}})
 	is.Equal(s.All(after(time.Second), func(string) bool { return false }), []Status{})
 }
+
+// Guards against an endpoint that turns everything away, names no time, and is asked as often as
+// one that takes requests.
+func TestEndpointThatTurnsEverythingAwayIsAskedLess(t *testing.T) {
+	is := is.New(t)
+	b := newTestBook()
+	sent := 0
+	for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
+		if ticket, reason := b.Send(after(at), "e"); reason == None {
+			sent++
+			b.SendEnded(after(at+time.Millisecond), "e", ticket, false, true)
+		}
+	}
+	t.Log(sent, "of 1000 requests sent")
+	is.True(sent <= 12)
+	is.Equal(b.Reports(after(10 * time.Second)), []Report{{Endpoint: "e", Refusing: true}})
+	at := 12 * time.Second
+	ticket, reason := b.Send(after(at), "e")
+	is.Equal(reason, None)
+	b.SendEnded(after(at+time.Millisecond), "e", ticket, true, false) // it takes one
+	is.Equal(len(b.Reports(after(at+time.Millisecond))), 0)
+	b.SendEnded(after(at+2*time.Millisecond), "e", Ticket{}, false, true)
+	is.True(!b.State(after(at+2*time.Millisecond), "e").Until.After(after(at + 2*time.Millisecond + refusalPause))) // from the beginning
+}
--- a/internal/core/notice/ramp.go
+++ b/internal/core/notice/ramp.go
@@ -68,7 +68,7 @@
 	case r.sent > 0:
 		cautious = max(r.sentRate(now)/2, lowestRate)
 	}
-	*r = ramp{active: true, restarts: r.restarts + 1, drawn: drawn, rate: min(startRate, cautious), cautious: cautious, sent: r.sent, sentAt: r.sentAt}
+	*r = ramp{active: true, restarts: r.restarts + 1, drawn: drawn, rate: min(startRate, cautious), cautious: cautious, at: now, stepAt: now, sent: r.sent, sentAt: r.sentAt}
 }
 
 // next returns when the next request may be sent, now if at once. first is the moment of the
--- a/internal/core/notice/share.go
+++ b/internal/core/notice/share.go
@@ -11,6 +11,7 @@
 	Endpoint string        `json:"e"`
 	Leaving  bool          `json:"l,omitempty"`
 	Pause    time.Duration `json:"p,omitempty"` // left when the message was sent; 0 if there is none
+	Refusing bool          `json:"r,omitempty"` // it has turned several requests in succession away
 }
 
 // Advice is what the leader tells entries of a pause that others were asked for.
@@ -31,7 +32,8 @@
 	var out []Report
 	for id, r := range b.endpoints {
 		rep := Report{Endpoint: id, Leaving: !r.leaving.At.IsZero(), Pause: max(r.pause.Until.Sub(now), 0)}
-		if r.unlisted.IsZero() && (rep.Leaving || rep.Pause > 0) {
+		rep.Refusing = r.refusals.count >= refusingFrom && now.Before(r.refusals.until.Add(maxRefusalPause))
+		if r.unlisted.IsZero() && (rep.Leaving || rep.Pause > 0 || rep.Refusing) {
 			out = append(out, rep)
 		}
 	}
@@ -64,8 +66,9 @@
 
 // heardThere is what one entry reports of one endpoint.
 type heardThere struct {
-	leaving bool
-	until   time.Time
+	leaving  bool
+	refusing bool
+	until    time.Time
 }
 
 // NewSummary returns an empty Summary.
@@ -81,7 +84,7 @@
 		}
 	}
 	for _, r := range all {
-		next[r.Endpoint] = heardThere{leaving: r.Leaving || next[r.Endpoint].leaving, until: now.Add(min(r.Pause, maxPause))}
+		next[r.Endpoint] = heardThere{leaving: r.Leaving || next[r.Endpoint].leaving, refusing: r.Refusing, until: now.Add(min(r.Pause, maxPause))}
 	}
 	if len(next) == 0 {
 		delete(s.byEntry, entry)
@@ -94,9 +97,10 @@
 type Status struct {
 	Endpoint string        `json:"endpoint"`
 	Leaving  bool          `json:"leaving,omitempty"`
-	Pause    time.Duration `json:"pause,omitempty"`   // the longest, left
-	Paused   []string      `json:"paused,omitempty"`  // entries that were asked for one
-	HeardBy  []string      `json:"heardBy,omitempty"` // entries that were told that it leaves
+	Pause    time.Duration `json:"pause,omitempty"`    // the longest, left
+	Paused   []string      `json:"paused,omitempty"`   // entries that were asked for one
+	HeardBy  []string      `json:"heardBy,omitempty"`  // entries that were told that it leaves
+	Refusing []string      `json:"refusing,omitempty"` // entries that it turned several requests in succession away of
 }
 
 // All returns what is known of the endpoints that are still known, ordered by endpoint, and drops
@@ -105,7 +109,7 @@
 	byID := map[string]*Status{}
 	for entry, all := range s.byEntry {
 		for id, h := range all {
-			if !known(id) || !h.leaving && !now.Before(h.until) {
+			if !known(id) || !h.leaving && !h.refusing && !now.Before(h.until) {
 				delete(all, id)
 				continue
 			}
@@ -119,6 +123,7 @@
 	}
 	out := make([]Status, 0, len(byID))
 	for _, st := range byID {
+		slices.Sort(st.Refusing)
 		slices.Sort(st.Paused)
 		slices.Sort(st.HeardBy)
 		out = append(out, *st)
@@ -132,6 +137,9 @@
 		st.Leaving = true
 		st.HeardBy = append(st.HeardBy, entry)
 	}
+	if h.refusing {
+		st.Refusing = append(st.Refusing, entry)
+	}
 	if left := h.until.Sub(now); left > 0 {
 		st.Pause = max(st.Pause, left)
 		st.Paused = append(st.Paused, entry)
