gateway: connections of all entries stay within what an endpoint takes

What callers saw: nothing yet; at 105 entries before an endpoint that takes 760 connections they could open 840, at 360 entries 2,880, and the endpoint resets those beyond.

Cause: an entry opened 8 connections in any case. Ruled out as a repair: a lower constant, which only moves the size at which the sum breaks.

Change: the even part, one at least. A request that finds them all in use waits for one or goes elsewhere; it no longer counts as turned away by the endpoint, nor against the number of sends.

Evidence: TestConnectionsOfAllEntriesStayWithinTheEndpointsLimit (known red) passes; TestRequestWaitsForAConnectionWithinTheEntrysPart. Beyond as many entries as the endpoint takes connections the sum is still one each.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -42,7 +42,7 @@
 			return result{notRun: true, notSent: true, outcome: abandoned}
 		}
 		if errors.Is(err, http1.ErrConnLimit) {
-			return result{notRun: true, notSent: true, outcome: full}
+			return result{notRun: true, notSent: true, outcome: atConnLimit}
 		}
 		x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Err(err).Msg("endpoint_not_reached")
 		return result{notRun: true, notSent: true, outcome: notConnected}
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -281,7 +281,7 @@
 		e.recordOutcome(now, 0)
 	case failed:
 		e.recordOutcome(now, 1)
-	case full:
+	case full, atConnLimit:
 		e.avoidUntil = later(e.avoidUntil, now.Add(fullCooldown))
 		time.AfterFunc(fullCooldown, d.wake)
 	case modelMissing:
--- a/internal/app/gateway/endpoint.go
+++ b/internal/app/gateway/endpoint.go
@@ -130,6 +130,7 @@
 	failed                                  // the endpoint failed to answer it
 	full                                    // refused for lack of capacity
 	turnedAway                              // refused with a pause, which the directory keeps
+	atConnLimit                             // not sent: this entry has its part of the connections in use
 	withheld                                // not sent: the endpoint has asked for a pause, or leaves
 	modelMissing                            // does not hold the model
 	notConnected                            // no connection was made
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -164,7 +164,7 @@
 		if res.notSent {
 			x.g.dir.returnPermit(e, x.waiter)
 		}
-		if res.outcome == withheld {
+		if res.outcome == withheld || res.outcome == atConnLimit {
 			x.sends--
 		}
 		if f, over := x.afterAttempt(ctx, e, res); over {
@@ -214,7 +214,7 @@
 	}
 	if res.notRun {
 		switch res.outcome {
-		case modelMissing, turnedAway, withheld: // the endpoint may take it later
+		case modelMissing, turnedAway, withheld, atConnLimit: // the endpoint may take it later
 		default:
 			x.tried[e.ID] = true
 		}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -306,14 +306,12 @@
 	// connShare is the share of an endpoint's connections that all entries use
 	// together; the rest is for orders, reports and entries not yet counted.
 	connShare = 0.8
-	// minConns is how many connections an entry may open to one endpoint in any case.
-	minConns = 8
 	// defaultMaxConns is assumed where the deployment does not bound connections.
 	defaultMaxConns = 128
 )
 
 // maxConns returns how many connections this entry may have to one endpoint of
-// a service.
+// a service: an even part of those that the endpoint takes, one at least.
 func (g *Gateway) maxConns(service string) int {
 	n := defaultMaxConns
 	if t := g.table.Load(); t != nil {
@@ -321,5 +319,5 @@
 			n = s.MaxConns
 		}
 	}
-	return max(minConns, int(float64(n)*connShare)/max(1, int(g.entries.Load())))
+	return max(1, int(float64(n)*connShare)/max(1, int(g.entries.Load())))
 }
--- a/internal/app/gateway/shared_test.go
+++ b/internal/app/gateway/shared_test.go
@@ -1,7 +1,13 @@
 package gateway
 
 import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -22,3 +28,22 @@
 		is.True(tc.entries*g.maxConns("s") <= tc.limit)
 	}
 }
+
+// Guards against a request that is refused, or never sent again, because all connections of this
+// entry to the only endpoint are in use for the moment.
+func TestRequestWaitsForAConnectionWithinTheEntrysPart(t *testing.T) {
+	is := is.New(t)
+	b := newFakeEndpoint(t, func(br *bufio.Reader, c net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(300 * time.Millisecond)
+		return answerOK(br, c, r, body)
+	})
+	g := startGateway(t, b)
+	g.raiseEntries(defaultMaxConns) // one connection each
+	is.Equal(g.maxConns("s"), 1)
+	var callers sync.WaitGroup
+	for i := range 2 {
+		callers.Go(func() { is.Equal(dial(t, g).ask("GET", "/safe/x", fmt.Sprint("r", i), "").status, 200) })
+	}
+	callers.Wait()
+	is.Equal(b.connections(), 1)
+}
--- a/internal/core/notice/notice_test.go
+++ b/internal/core/notice/notice_test.go
@@ -182,7 +182,7 @@
 	}
 	t.Log(sent, "of 1000 requests sent")
 	is.True(sent <= 12)
-	is.Equal(b.Reports(after(10 * time.Second)), []Report{{Endpoint: "e", Refusing: true}})
+	is.Equal(b.Reports(after(10*time.Second)), []Report{{Endpoint: "e", Refusing: true}})
 	at := 12 * time.Second
 	ticket, reason := b.Send(after(at), "e")
 	is.Equal(reason, None)
