app/entry: what agents say of when to come back is kept by core/notice

An entry kept two forms of the same statement: job.busyUntil and, for endpoints without agents, core/notice. The map is gone. The book is the request's own: an agent works the time out for one request, by its deadline and its customer's part of the queue, and another one may be accepted meanwhile. A later, shorter time no longer cuts an earlier one, and another incarnation of an agent has said nothing.

--- a/internal/app/entry/job.go
+++ b/internal/app/entry/job.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/limit"
+	"github.com/cassiapass/cassiapass/internal/core/notice"
 	"github.com/cassiapass/cassiapass/internal/core/placement"
 	"github.com/cassiapass/cassiapass/internal/core/record"
 	"github.com/cassiapass/cassiapass/internal/core/routing"
@@ -37,9 +40,9 @@
 	retries       int
 	configRetries int // times that an agent refused it for an old configuration
 	tried         []ident.HostID
-	mayHaveRun    bool // an attempt ended as unknown
-	busyUntil     map[ident.HostID]time.Time
-	noMemorySince time.Time // since when control reports no memory for the target; zero if it does not
+	mayHaveRun    bool         // an attempt ended as unknown
+	notices       *notice.Book // times to come back, which agents work out for this request alone; nil if there are none
+	noMemorySince time.Time    // since when control reports no memory for the target; zero if it does not
 	trace         []AttemptSummary
 }
 
@@ -95,7 +98,7 @@
 		if r.state == wire.RunAccepted {
 			return nil
 		}
-		if ref := e.retryOrRefuse(ctx, j, c, r); ref != nil {
+		if ref := e.retryOrRefuse(ctx, j, ep, r); ref != nil {
 			return ref
 		}
 	}
@@ -127,7 +130,7 @@
 	var out []routing.Candidate
 	eps := map[ident.HostID]state.Endpoint{}
 	add := func(ep state.Endpoint, replica ident.Index, since time.Time) {
-		if ep.Leaving || j.busyUntil[ep.Host].After(now) {
+		if ep.Leaving || j.pauses(now, ep) {
 			return
 		}
 		eps[ep.Host] = ep
@@ -160,7 +163,7 @@
 
 // retryOrRefuse decides whether to retry a job whose attempt did not succeed. It
 // returns nil to retry, or the refusal that ends the job.
-func (e *Entry) retryOrRefuse(ctx context.Context, j *job, c routing.Candidate, r attemptResult) *refusal {
+func (e *Entry) retryOrRefuse(ctx context.Context, j *job, ep state.Endpoint, r attemptResult) *refusal {
 	if r.state == wire.RunUnknown && e.cfg.Unsafe != UnsafeRetry && (!j.repeatable || j.sink.delivered()) {
 		return unknown("outcome_unknown", "the request may have run: "+r.reason)
 	}
@@ -171,13 +174,13 @@
 	if r.retryAfter > 0 {
 		// The endpoint is full, not failing: other endpoints are tried, and this
 		// one again when it expects to have free capacity.
-		if j.busyUntil == nil {
-			j.busyUntil = map[ident.HostID]time.Time{}
+		if j.notices == nil {
+			j.notices = notice.NewBook(rand.Float64)
 		}
-		j.busyUntil[c.Host] = now.Add(r.retryAfter)
+		j.notices.PauseAsked(notice.Heard{At: now, Request: string(j.id)}, incarnationOf(ep), r.retryAfter, true)
 		return nil
 	}
-	j.tried = append(j.tried, c.Host)
+	j.tried = append(j.tried, ep.Host)
 	j.retries++
 	// The retry budget limits the attempts that endpoints receive beyond the
 	// first ones. An endpoint that could not be reached received nothing. If such
@@ -298,7 +301,7 @@
 	if !now.Before(j.startBy) {
 		return notRun("deadline_past", "the request could not start in time", e.retryAfter(j, now))
 	}
-	if next, full := earliestFree(j, now); full && next.After(j.startBy) {
+	if next, full := j.earliestFree(now); full && next.After(j.startBy) {
 		return notRun("overloaded", "every endpoint is full for longer than this request may wait", next.Sub(now))
 	}
 	if j.plain != "" {
@@ -323,15 +326,23 @@
 	return nil
 }
 
+// incarnationOf identifies one incarnation of an endpoint's agent.
+func incarnationOf(ep state.Endpoint) string {
+	return string(ep.Host) + "@" + strconv.FormatUint(uint64(ep.Incarnation), 10)
+}
+
+// pauses reports whether an endpoint has told this request to come back later.
+func (j *job) pauses(now time.Time, ep state.Endpoint) bool {
+	return j.notices != nil && j.notices.State(now, incarnationOf(ep)).Reason == notice.Paused
+}
+
 // earliestFree returns the earliest time at which an endpoint that refused the
 // job because it was full expects to have free capacity; false if there is none.
-func earliestFree(j *job, now time.Time) (at time.Time, found bool) {
-	for _, t := range j.busyUntil {
-		if t.After(now) && (!found || t.Before(at)) {
-			at, found = t, true
-		}
+func (j *job) earliestFree(now time.Time) (time.Time, bool) {
+	if j.notices == nil {
+		return time.Time{}, false
 	}
-	return at, found
+	return j.notices.FirstEnd(now)
 }
 
 // retryAfter returns when control expects a replica for the job, or
--- a/internal/core/notice/book.go
+++ b/internal/core/notice/book.go
@@ -187,6 +187,16 @@
 	return r.quietUntil().Add(time.Duration(r.ramp.drawn * float64(firstSendSpread(sharers))))
 }
 
+// FirstEnd returns the earliest end of the pauses in force; false if there is none.
+func (b *Book) FirstEnd(now time.Time) (at time.Time, found bool) {
+	for _, r := range b.endpoints {
+		if end := r.pause.Until; end.After(now) && (!found || end.Before(at)) {
+			at, found = end, true
+		}
+	}
+	return at, found
+}
+
 // Expect returns when a request can expect to be sent to an endpoint if others are sent before
 // it.
 func (b *Book) Expect(now time.Time, id string, ahead int) time.Time {
--- a/internal/core/notice/notice_test.go
+++ b/internal/core/notice/notice_test.go
@@ -156,6 +156,20 @@
 	is.True(last.Before(after(4 * time.Second)))
 }
 
+func TestFirstEndOfPauses(t *testing.T) {
+	is := is.New(t)
+	b := newTestBook()
+	_, found := b.FirstEnd(start)
+	is.True(!found)
+	pauseAt(b, 0, 3*time.Second)
+	b.PauseAsked(Heard{At: start}, "f", time.Second, true)
+	at, found := b.FirstEnd(start)
+	is.True(found)
+	is.Equal(at, after(time.Second))
+	at, _ = b.FirstEnd(after(2 * time.Second))
+	is.Equal(at, after(3*time.Second))
+}
+
 func TestSummaryOfEntries(t *testing.T) {
 	is := is.New(t)
 	s := NewSummary()
