core/notice: an entry's report that an endpoint refuses expires

Found by reading: an entry that ended while it reported that an endpoint turns requests away left that report in force, and the planner gave the engine no work any more. TestRefusalsOfAnEntryThatHasEndedAreForgotten, red without the change. Reports come several times a second while it holds; one counts for a second.

--- a/internal/core/notice/notice_test.go
+++ b/internal/core/notice/notice_test.go
@@ -182,6 +182,17 @@
 	is.Equal(s.All(after(time.Second), func(string) bool { return false }), []Status{})
 }
 
+// Guards against an endpoint that counts as one that refuses for good, since the entry that reported
+// it has ended.
+func TestRefusalsOfAnEntryThatHasEndedAreForgotten(t *testing.T) {
+	is := is.New(t)
+	s := NewSummary()
+	all := func(string) bool { return true }
+	s.Record(start, "a", []Report{{Endpoint: "e", Refusing: true}})
+	is.Equal(s.All(start, all), []Status{{Endpoint: "e", Refusing: []string{"a"}}})
+	is.Equal(s.All(after(refusingMemory), all), []Status{})
+}
+
 // Guards against an endpoint that turns everything away, names no time, and is asked as often as
 // one that takes requests.
 func TestEndpointThatTurnsEverythingAwayIsAskedLess(t *testing.T) {
--- a/internal/core/notice/share.go
+++ b/internal/core/notice/share.go
@@ -66,11 +66,15 @@
 
 // heardThere is what one entry reports of one endpoint.
 type heardThere struct {
-	leaving  bool
-	refusing bool
-	until    time.Time
+	leaving       bool
+	refusingUntil time.Time // the entry reports it anew while it holds
+	until         time.Time
 }
 
+// refusingMemory is how long an entry's report that an endpoint refuses counts: entries report
+// several times a second, and one that has ended reports no end.
+const refusingMemory = time.Second
+
 // NewSummary returns an empty Summary.
 func NewSummary() *Summary { return &Summary{byEntry: map[string]map[string]heardThere{}} }
 
@@ -84,7 +88,11 @@
 		}
 	}
 	for _, r := range all {
-		next[r.Endpoint] = heardThere{leaving: r.Leaving || next[r.Endpoint].leaving, refusing: r.Refusing, until: now.Add(min(r.Pause, maxPause))}
+		h := heardThere{leaving: r.Leaving || next[r.Endpoint].leaving, until: now.Add(min(r.Pause, maxPause))}
+		if r.Refusing {
+			h.refusingUntil = now.Add(refusingMemory)
+		}
+		next[r.Endpoint] = h
 	}
 	if len(next) == 0 {
 		delete(s.byEntry, entry)
@@ -109,7 +117,7 @@
 	byID := map[string]*Status{}
 	for entry, all := range s.byEntry {
 		for id, h := range all {
-			if !known(id) || !h.leaving && !h.refusing && !now.Before(h.until) {
+			if !known(id) || !h.leaving && !now.Before(h.refusingUntil) && !now.Before(h.until) {
 				delete(all, id)
 				continue
 			}
@@ -137,7 +145,7 @@
 		st.Leaving = true
 		st.HeardBy = append(st.HeardBy, entry)
 	}
-	if h.refusing {
+	if now.Before(h.refusingUntil) {
 		st.Refusing = append(st.Refusing, entry)
 	}
 	if left := h.until.Sub(now); left > 0 {
