--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -32,26 +32,27 @@
 	// onPermitsPending is called when a report for the limits of endpoints is due; may be nil.
 	onPermitsPending func()
 
-	mu         sync.Mutex
-	term       uint64 // of the leader that reported the endpoints
-	rev        uint64
-	asOf       time.Time // the platform's list is not older than this
-	byID       map[fleet.EndpointID]*endpoint
-	modelIdle  chan struct{}                          // signalled when the last request here for a model with one holder has ended
-	etas       map[string]time.Time                   // for a model that no endpoint holds, the earliest time at which one will
-	onRemoved  func(e fleet.EndpointID, planned bool) // called for each removed incarnation; may be nil
-	limits     *allowance.PermitClient
-	notices    *notice.Book
-	waiters    map[*allowance.Waiter]waitingFor // requests that wait for the end of a pause
-	noticed    chan struct{}                    // signalled when an endpoint has asked for something
-	nextWake   time.Time                        // of the earliest pending timer of wakeAt; zero if there is none
-	unreadable map[fleet.EndpointID]string      // the last unreadable limit that an endpoint named
-	changed    chan struct{}                    // closed and replaced when a waiting request should look again
+	mu               sync.Mutex
+	term             uint64 // of the leader that reported the endpoints
+	rev              uint64
+	asOf             time.Time // the platform's list is not older than this
+	byID             map[fleet.EndpointID]*endpoint
+	modelIdle        chan struct{}                          // signalled when the last request here for a model with one holder has ended
+	etas             map[string]time.Time                   // for a model that no endpoint holds, the earliest time at which one will
+	onRemoved        func(e fleet.EndpointID, planned bool) // called for each removed incarnation; may be nil
+	limits           *allowance.PermitClient
+	notices          *notice.Book
+	waiters          map[*allowance.Waiter]waitingFor // requests that wait for the end of a pause
+	noticed          chan struct{}                    // signalled when an endpoint has asked for something
+	nextWake         time.Time                        // of the earliest pending timer of wakeAt; zero if there is none
+	unreadableLogged map[unreadableLog]bool           // unreadable pauses and leavings that were logged
+	unreadable       map[fleet.EndpointID]string      // the last unreadable limit that an endpoint named
+	changed          chan struct{}                    // closed and replaced when a waiting request should look again
 }
 
 func newDirectory(zone ident.Zone, log zerolog.Logger) *directory {
 	return &directory{zone: zone, log: log, limits: allowance.NewPermitClient(rand.Uint64(), rand.Float64),
-		notices: notice.NewBook(rand.Float64), waiters: map[*allowance.Waiter]waitingFor{}, noticed: make(chan struct{}, 1), unreadable: map[fleet.EndpointID]string{}, byID: map[fleet.EndpointID]*endpoint{}, etas: map[string]time.Time{}, modelIdle: make(chan struct{}, 1), changed: make(chan struct{})}
+		notices: notice.NewBook(rand.Float64), waiters: map[*allowance.Waiter]waitingFor{}, unreadableLogged: map[unreadableLog]bool{}, noticed: make(chan struct{}, 1), unreadable: map[fleet.EndpointID]string{}, byID: map[fleet.EndpointID]*endpoint{}, etas: map[string]time.Time{}, modelIdle: make(chan struct{}, 1), changed: make(chan struct{})}
 }
 
 // wakeLocked makes waiting requests look again. The caller holds mu.
@@ -152,6 +153,8 @@
 func (d *directory) drop(e *endpoint) {
 	delete(d.byID, e.ID)
 	delete(d.unreadable, e.ID)
+	delete(d.unreadableLogged, unreadableLog{e.ID, eventPauseUnreadable})
+	delete(d.unreadableLogged, unreadableLog{e.ID, eventLeavingUnreadable})
 	d.metrics.dropEndpoint(e.ID)
 	d.limits.Forget(string(e.ID))
 }
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -83,34 +83,34 @@
 // dropEndpoint removes the metrics of an endpoint that is gone.
 func (m *metrics) dropEndpoint(id fleet.EndpointID) {
 	m.setEndpointLimit(id, 0)
-	m.set.UnregisterMetric(noticeMetric("leaving", id))
-	m.set.UnregisterMetric(noticeMetric("pause_seconds", id))
-	m.set.UnregisterMetric(noticeMetric("pauses_total", id))
-	m.set.UnregisterMetric(noticeMetric("sends_withheld_total", id))
+	m.set.UnregisterMetric(byEndpoint(`cassiapass_gateway_endpoint_leaving`, id))
+	m.set.UnregisterMetric(byEndpoint(`cassiapass_gateway_endpoint_pause_seconds`, id))
+	m.set.UnregisterMetric(byEndpoint(`cassiapass_gateway_endpoint_pauses_total`, id))
+	m.set.UnregisterMetric(byEndpoint(`cassiapass_gateway_endpoint_sends_withheld_total`, id))
 	for _, by := range []string{"permit", "fallback"} {
 		m.set.UnregisterMetric(limitedSends(id, by))
 	}
 }
 
-// noticeMetric returns the name of a metric of what an endpoint asked for.
-func noticeMetric(name string, id fleet.EndpointID) string {
-	return `cassiapass_gateway_endpoint_` + name + `{endpoint=` + strconv.Quote(string(id)) + `}`
+// byEndpoint returns the name of a metric of one endpoint.
+func byEndpoint(name string, id fleet.EndpointID) string {
+	return name + `{endpoint=` + strconv.Quote(string(id)) + `}`
 }
 
 // recordPause counts a pause that an endpoint asked for, and shows what is left of it.
 func (m *metrics) recordPause(id fleet.EndpointID, left func() float64) {
-	m.set.GetOrCreateCounter(noticeMetric("pauses_total", id)).Inc()
-	m.set.GetOrCreateGauge(noticeMetric("pause_seconds", id), left)
+	m.set.GetOrCreateCounter(byEndpoint(`cassiapass_gateway_endpoint_pauses_total`, id)).Inc()
+	m.set.GetOrCreateGauge(byEndpoint(`cassiapass_gateway_endpoint_pause_seconds`, id), left)
 }
 
 // recordLeaving shows that an endpoint has said that it leaves.
 func (m *metrics) recordLeaving(id fleet.EndpointID) {
-	m.set.GetOrCreateGauge(noticeMetric("leaving", id), nil).Set(1)
+	m.set.GetOrCreateGauge(byEndpoint(`cassiapass_gateway_endpoint_leaving`, id), nil).Set(1)
 }
 
 // countWithheld counts a request that was not sent to the endpoint that was chosen for it.
 func (m *metrics) countWithheld(id fleet.EndpointID) {
-	m.set.GetOrCreateCounter(noticeMetric("sends_withheld_total", id)).Inc()
+	m.set.GetOrCreateCounter(byEndpoint(`cassiapass_gateway_endpoint_sends_withheld_total`, id)).Inc()
 }
 
 func limitedSends(id fleet.EndpointID, by string) string {
--- a/internal/app/gateway/notices.go
+++ b/internal/app/gateway/notices.go
@@ -12,6 +12,12 @@
 // pauses.
 const minWakeGap = 10 * time.Millisecond
 
+// Events of values that cannot be read.
+const (
+	eventPauseUnreadable   = "endpoint_pause_unreadable"
+	eventLeavingUnreadable = "endpoint_leaving_unreadable"
+)
+
 // waitingFor is what a request waits for.
 type waitingFor struct {
 	service string
@@ -39,7 +45,7 @@
 	defer d.mu.Unlock()
 	h := notice.Heard{At: time.Now(), Request: v.ID}
 	if v.Leaving.Unreadable != "" {
-		d.logUnreadable(e.ID, "leaving", v.Leaving.Unreadable)
+		d.logUnreadable(e.ID, eventLeavingUnreadable, v.Leaving.Unreadable)
 	}
 	if v.Leaving.Leaving && d.notices.LeavingHeard(h, string(e.ID)) {
 		d.log.Info().Str("endpoint", string(e.ID)).Str("request", v.ID).Bool("listed_leaving", e.Leaving).Int("mine", e.ownRunning).Msg("endpoint_says_it_leaves")
@@ -51,7 +57,7 @@
 		return
 	}
 	if !v.Pause.Readable {
-		d.logUnreadable(e.ID, "pause", v.Pause.Text)
+		d.logUnreadable(e.ID, eventPauseUnreadable, v.Pause.Text)
 	}
 	if d.notices.PauseAsked(h, string(e.ID), v.Pause.For, v.Pause.Readable) {
 		s := d.notices.State(h.At, string(e.ID))
@@ -62,14 +68,20 @@
 	}
 }
 
-// logUnreadable logs a value of an endpoint's answers that cannot be read, once until another one
-// comes. The caller holds mu.
-func (d *directory) logUnreadable(id fleet.EndpointID, what, text string) {
-	if d.unreadable[id] == text {
-		return
+// unreadableLog identifies a kind of unreadable value of one endpoint's answers.
+type unreadableLog struct {
+	id    fleet.EndpointID
+	event string
+}
+
+// logUnreadable logs a value of an endpoint's answers that cannot be read, the first of each kind.
+// The caller holds mu.
+func (d *directory) logUnreadable(id fleet.EndpointID, event, text string) {
+	k := unreadableLog{id, event}
+	if !d.unreadableLogged[k] {
+		d.unreadableLogged[k] = true
+		d.log.Warn().Str("endpoint", string(id)).Str("text", text).Msg(event)
 	}
-	d.unreadable[id] = text
-	d.log.Warn().Str("endpoint", string(id)).Str("text", text).Msg("endpoint_" + what + "_unreadable")
 }
 
 // pauseLeft returns how much of a pause is left.
