gateway: refused requests of plain services are no demand for a model

Found by reading: a refusal before a pause that lasts too long was reported as demand for a model without a name, which the leader then counted among the models that no engine holds, in the queue for the store. Refusals at limits had the same. TestRefusedPlainRequestsAreNoDemandForAModel, red without the change.

--- a/internal/app/gateway/demand.go
+++ b/internal/app/gateway/demand.go
@@ -70,6 +70,9 @@
 
 // recordDeferred records that a request was refused until its model is held.
 func (d *demands) recordDeferred(w fleet.Want) {
+	if w.Model == "" {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forWant(w).deferred++
--- a/internal/app/gateway/notices_test.go
+++ b/internal/app/gateway/notices_test.go
@@ -217,3 +217,14 @@
 	is.True(time.Since(begin) < 1500*time.Millisecond)
 	is.Equal(b.arrivals(), 1)
 }
+
+// Guards against refusals of a plain service that reach the leader as demand for a model without a
+// name.
+func TestRefusedPlainRequestsAreNoDemandForAModel(t *testing.T) {
+	is := is.New(t)
+	var on atomic.Bool
+	on.Store(true)
+	g := startGateway(t, pausing(t, "30", &on))
+	is.Equal(dial(t, g).ask("GET", "/safe/x", "r", "").status, http.StatusServiceUnavailable)
+	is.Equal(len(g.demands.report(time.Now())), 0)
+}
