--- a/internal/adapter/http1/client.go
+++ b/internal/adapter/http1/client.go
@@ -296,17 +296,37 @@
 // it never waits for the endpoint and needs no goroutine.
 const inlineWrite = 8 << 10
 
+// Framing is what ends a response's body. Its values are written to logs.
+type Framing string
+
+// The framings of a body.
+const (
+	ByLength     Framing = "length"     // a length, or a head that allows no body
+	ByChunks     Framing = "chunks"     // a last chunk
+	ByConnection Framing = "connection" // the end of the connection, which a crash brings about as well
+)
+
 // Response is the head of an endpoint's response and a reader of its body.
 type Response struct {
 	Status   int
 	Header   http.Header
 	Body     io.Reader
 	Length   int64 // -1 if not known
-	Framed   bool  // delimited by a length or chunks, not by the end of the connection
+	Framing  Framing
 	reusable bool
 	conn     *ClientConn
 }
 
+func framingOf(method string, r *http.Response) Framing {
+	switch {
+	case method == http.MethodHead || r.ContentLength >= 0:
+		return ByLength
+	case len(r.TransferEncoding) > 0:
+		return ByChunks
+	}
+	return ByConnection
+}
+
 // Receive reads the head of the next final response; it skips those of status 1xx.
 func (c *ClientConn) Receive(method string) (*Response, error) {
 	req := &http.Request{Method: method}
@@ -323,8 +343,8 @@
 				c.idleTimeout = time.Duration(n) * time.Second
 			}
 		}
-		framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-		return &Response{Status: r.StatusCode, Header: r.Header, Body: r.Body, Length: r.ContentLength, Framed: framed, reusable: framed && !r.Close, conn: c}, nil
+		framing := framingOf(method, r)
+		return &Response{Status: r.StatusCode, Header: r.Header, Body: r.Body, Length: r.ContentLength, Framing: framing, reusable: framing != ByConnection && !r.Close, conn: c}, nil
 	}
 }
 
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -82,6 +82,8 @@
 	if x.firstByte == 0 {
 		x.firstByte = time.Since(x.arrived)
 	}
+	x.framing = resp.Framing
+	x.g.metrics.countAnswer(resp.Framing)
 	res, err := x.forwardAnswer(cc, resp)
 	if err != nil {
 		cc.Close()
@@ -156,7 +158,7 @@
 	if ctx.Err() != nil {
 		return result{outcome: abandoned}
 	}
-	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Err(err).Msg("endpoint_" + event)
+	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Str("framing", string(x.framing)).Int("events", x.eventsSent).Err(err).Msg("endpoint_" + event)
 	x.recordBreak(e)
 	return result{outcome: failed}
 }
@@ -190,7 +192,7 @@
 	if len(body) > maxBufferedBody {
 		return x.forwardLarge(resp, body)
 	}
-	x.recordAnswer(resp.Framed)
+	x.recordAnswer(resp.Framing != http1.ByConnection)
 	resp.Release()
 	if resp.Status >= http.StatusInternalServerError && x.route.MayRepeat() {
 		x.endpointFailure = &answer{resp.Status, resp.Header, body}
@@ -235,6 +237,7 @@
 		n, err := resp.Body.Read(buf)
 		last = x.g.metrics.observeGap(last)
 		x.eventsSent += bytes.Count(buf[:n], eventEnd)
+		x.tail = keepTail(x.tail, buf[:n])
 		if werr := x.c.WriteBody(buf[:n]); werr != nil {
 			resp.Abort()
 			return result{outcome: abandoned, final: true}, nil
@@ -246,7 +249,7 @@
 			return result{}, err
 		}
 	}
-	x.recordAnswer(resp.Framed)
+	x.recordAnswer(resp.Framing != http1.ByConnection)
 	resp.Release()
 	if err := x.c.EndBody(); err != nil {
 		return result{outcome: abandoned, final: true}, nil
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"math"
@@ -62,6 +63,8 @@
 	fp              poison.Fingerprint // identifies the request by its content
 	firstByte       time.Duration      // time until the first byte of the answer
 	eventsSent      int                // stream events forwarded
+	framing         http1.Framing      // of the newest answer
+	tail            []byte             // last bytes forwarded of a body that is forwarded as it arrives
 	lastEndpoint    fleet.EndpointID   // the one that it was sent to last
 }
 
@@ -416,6 +419,11 @@
 	return ok
 }
 
+// endsInEvent reports whether a body that was forwarded as it arrived ends within an event.
+func (x *exchange) endsInEvent() bool {
+	return x.route != nil && x.route.Repeat == deploy.Stream && len(x.tail) > 0 && !bytes.HasSuffix(x.tail, eventEnd) && !bytes.HasSuffix(x.tail, crlfEventEnd)
+}
+
 func (x *exchange) log(event string, status int) {
 	took := time.Since(x.arrived)
 	x.g.metrics.observeRequest(event, x.reason, took, x.waited, x.firstByte)
@@ -437,6 +445,9 @@
 	if x.lastEndpoint != "" {
 		ev.Str("endpoint", string(x.lastEndpoint))
 	}
+	if x.framing != "" {
+		ev.Str("framing", string(x.framing)).Int("events", x.eventsSent).Bool("ends_in_event", x.endsInEvent())
+	}
 	if x.reason != "" {
 		ev.Str("reason", string(x.reason))
 	}
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	vm "github.com/VictoriaMetrics/metrics"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/http1"
 	"github.com/cassiapass/cassiapass/internal/adapter/opshttp"
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/core/allowance"
@@ -153,6 +154,11 @@
 	return strconv.Quote(string(name))[1 : len(strconv.Quote(string(name)))-1]
 }
 
+// countAnswer counts an answer by what ends its body.
+func (m *metrics) countAnswer(f http1.Framing) {
+	m.set.GetOrCreateCounter(`cassiapass_gateway_answers_total{framing="` + string(f) + `"}`).Inc()
+}
+
 // countBroken counts an answer that an endpoint broke off.
 func (m *metrics) countBroken(ended bool) {
 	name := `cassiapass_gateway_answers_broken_total{endpoint="alive"}`
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -14,6 +14,9 @@
 // eventEnd ends an event of a stream.
 var eventEnd = []byte("\n\n")
 
+// crlfEventEnd is the same with the longer line breaks.
+var crlfEventEnd = []byte("\r\n\r\n")
+
 // maxEvent bounds one event of a stream that may be resumed, in bytes.
 const maxEvent = 256 << 10
 
@@ -60,7 +63,7 @@
 		case errors.Is(err, io.EOF) && len(rest) > 0:
 			return result{}, errors.New("the stream ended within an event")
 		case errors.Is(err, io.EOF):
-			x.recordAnswer(resp.Framed)
+			x.recordAnswer(resp.Framing != http1.ByConnection)
 			resp.Release()
 			if x.c.EndBody() != nil {
 				return result{outcome: abandoned, final: true}, nil
@@ -96,6 +99,12 @@
 	return x.c.WriteBody(out)
 }
 
+// keepTail returns the last bytes of what was forwarded, up to the length of the end of an event.
+func keepTail(tail, b []byte) []byte {
+	tail = append(tail, b...)
+	return tail[max(0, len(tail)-len(crlfEventEnd)):]
+}
+
 // wholeEventsLen returns the length of the whole events at the start of b.
 func wholeEventsLen(b []byte) int {
 	total := 0
