gateway, core/ending: the end of a connection is not the end of an answer

Cause: an answer with neither length nor chunks ends with its connection, and so does one that its engine breaks off: an orderly close, no reset. forwardBody, forwardPlain and forwardLarge took that end for the end of the answer and made a claim of their own to the caller; only forwardWholeEvents knew that an end within an event is a cut. HTTP/1.0 callers saw an orderly end of every cut.

Change: core/ending decides, with three verdicts, for every way out. Broken off: the endpoint counts as failed, the request is resumed or repeated where the route allows it, else the caller sees a cut (no last chunk; a reset where the connection is the frame, also when this entry stops or closes). Not known: plain answers end with the connection, as the endpoint's did; streams keep their chunks and get the last one if they ended between two events at a process that lives on or leaves as planned. Streams are not framed by the connection, because then the end of this entry within a stream would look like the end of the answer, which is much more frequent than a cut exactly between two events (TestEndOfAnEntryWithinAStreamIsVisible). A process that accepts a connection is asked 5 ms later whether it still does: one that ends closes its listener and its connections one after the other.

TestCallerThatClosesAfterItsAnswerAbortsNoOtherRequest sent 'abc' as an event stream, which ends within an event; it sends a whole event now and checks the same.

--- a/internal/adapter/http1/server.go
+++ b/internal/adapter/http1/server.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,8 @@
 	watched chan struct{} // closed when the watch has ended; nil if none runs
 	close   bool          // the connection is to be closed after the response
 	chunked bool
+	// toTheEnd is set while a body is under way that ends with the connection.
+	toTheEnd atomic.Bool
 }
 
 const (
@@ -38,8 +41,14 @@
 	return &Conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), limits: limits}
 }
 
-// Close closes the connection at once.
-func (c *Conn) Close() { _ = c.nc.Close() }
+// Close closes the connection at once. A body that ends with the connection and is still under way
+// is cut by a reset: an orderly end would make it look complete.
+func (c *Conn) Close() {
+	if tc, ok := c.nc.(*net.TCPConn); ok && c.toTheEnd.Load() {
+		_ = tc.SetLinger(0)
+	}
+	_ = c.nc.Close()
+}
 
 // Remote returns the caller's address.
 func (c *Conn) Remote() string { return c.nc.RemoteAddr().String() }
@@ -156,11 +165,12 @@
 	return c.write(b)
 }
 
-// WriteHead writes the head of a response whose length is not known. Its body
-// follows in chunks, or up to the end of the connection for HTTP/1.0.
-func (c *Conn) WriteHead(status int, h http.Header, minor int) error {
-	c.chunked = minor >= 1
-	if !c.chunked {
+// WriteHead writes the head of a response whose length is not known. Its body follows in chunks,
+// which HTTP/1.0 does not know, or up to the end of the connection.
+func (c *Conn) WriteHead(status int, h http.Header, chunked bool) error {
+	c.chunked = chunked
+	c.toTheEnd.Store(!chunked)
+	if !chunked {
 		c.close = true
 	}
 	b := c.appendHead(make([]byte, 0, 512), status, h)
@@ -189,6 +199,7 @@
 // the connection instead.
 func (c *Conn) EndBody() error {
 	if !c.chunked {
+		c.toTheEnd.Store(false)
 		return nil
 	}
 	return c.write([]byte("0\r\n\r\n"))
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +9,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/adapter/http1"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
+	"github.com/cassiapass/cassiapass/internal/core/ending"
 	"github.com/cassiapass/cassiapass/internal/core/notice"
 )
 
@@ -84,9 +84,10 @@
 	}
 	x.framing = resp.Framing
 	x.g.metrics.countAnswer(resp.Framing)
-	res, err := x.forwardAnswer(cc, resp)
+	res, err := x.forwardAnswer(e, resp)
 	if err != nil {
 		cc.Close()
+		x.g.dir.recordBroken(e)
 		return x.brokenResult(ctx, e, err, "answer_broken")
 	}
 	return res
@@ -173,32 +174,34 @@
 }
 
 // forwardAnswer forwards an answer. An error means that it is incomplete.
-func (x *exchange) forwardAnswer(cc *http1.ClientConn, resp *http1.Response) (result, error) {
+func (x *exchange) forwardAnswer(e *endpoint, resp *http1.Response) (result, error) {
 	if x.headSent {
-		return x.resumeStream(resp)
+		return x.resumeStream(e, resp)
 	}
 	if x.route.Repeat == deploy.Stream && resp.Status < http.StatusMultipleChoices {
-		return x.forwardStream(resp)
+		return x.forwardStream(e, resp)
 	}
-	return x.forwardPlain(resp)
+	return x.forwardPlain(e, resp)
 }
 
 // forwardPlain forwards an answer of up to maxBufferedBody after reading it to its end.
-func (x *exchange) forwardPlain(resp *http1.Response) (result, error) {
+func (x *exchange) forwardPlain(e *endpoint, resp *http1.Response) (result, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
-	if err != nil {
-		return result{}, err
+	if err == nil && len(body) > maxBufferedBody {
+		return x.forwardLarge(e, resp, body)
 	}
-	if len(body) > maxBufferedBody {
-		return x.forwardLarge(resp, body)
+	end := x.judge(e, resp, err, ending.Opaque)
+	if end.verdict == ending.BrokenOff {
+		return result{}, brokenError(err)
 	}
-	x.recordAnswer(resp.Framing != http1.ByConnection)
+	x.recordAnswer(end.proved())
 	resp.Release()
+	a := answer{resp.Status, resp.Header, body, end.verdict}
 	if resp.Status >= http.StatusInternalServerError && x.route.MayRepeat() {
-		x.endpointFailure = &answer{resp.Status, resp.Header, body}
+		x.endpointFailure = &a
 		return result{outcome: failed}, nil
 	}
-	if err := x.c.WriteResponse(resp.Status, resp.Header, body, x.r.Method == http.MethodHead); err != nil {
+	if err := x.writeAnswer(a); err != nil {
 		return result{outcome: abandoned, final: true}, nil
 	}
 	out := succeeded
@@ -208,10 +211,26 @@
 	return result{complete: true, outcome: out}, nil
 }
 
+// writeAnswer writes a plain answer that was read to its end. A length would claim that it is whole;
+// without the endpoint's word for it the answer ends with the connection, as it did here.
+func (x *exchange) writeAnswer(a answer) error {
+	if a.end == ending.Whole {
+		return x.c.WriteResponse(a.status, a.header, a.body, x.r.Method == http.MethodHead)
+	}
+	err := x.c.WriteHead(a.status, a.header, false)
+	if err == nil {
+		err = x.c.WriteBody(a.body)
+	}
+	if err == nil {
+		err = x.c.EndBody()
+	}
+	return err
+}
+
 // forwardLarge forwards an answer larger than maxBufferedBody, whose first part has
 // been read already.
-func (x *exchange) forwardLarge(resp *http1.Response, first []byte) (result, error) {
-	err := x.writeHead(resp)
+func (x *exchange) forwardLarge(e *endpoint, resp *http1.Response, first []byte) (result, error) {
+	err := x.writeHead(resp, resp.Framing != http1.ByConnection)
 	if err == nil {
 		err = x.c.WriteBody(first)
 	}
@@ -221,38 +240,36 @@
 		resp.Abort()
 		return result{outcome: abandoned, final: true}, nil
 	}
-	return x.forwardBody(resp)
+	return x.forwardBody(resp, nil, func() (result, error) { return x.endLarge(e, resp) })
 }
 
-func (x *exchange) writeHead(resp *http1.Response) error {
+// writeHead writes the head of an answer that is forwarded as it arrives, in chunks if the caller
+// knows them.
+func (x *exchange) writeHead(resp *http1.Response, chunked bool) error {
 	x.headSent = true
-	return x.c.WriteHead(resp.Status, resp.Header, x.r.Minor)
+	return x.c.WriteHead(resp.Status, resp.Header, chunked && x.r.Minor >= 1)
 }
 
-// forwardBody forwards the rest of a body as it arrives.
-func (x *exchange) forwardBody(resp *http1.Response) (result, error) {
+// forwardBody forwards the rest of a body as it arrives, and ends the answer with end. observe, if
+// set, is given each piece.
+func (x *exchange) forwardBody(resp *http1.Response, observe func([]byte), end func() (result, error)) (result, error) {
 	buf := make([]byte, streamBuffer)
 	last := time.Now()
 	for {
 		n, err := resp.Body.Read(buf)
 		last = x.g.metrics.observeGap(last)
-		x.eventsSent += bytes.Count(buf[:n], eventEnd)
-		x.tail = keepTail(x.tail, buf[:n])
+		if observe != nil {
+			observe(buf[:n])
+		}
 		if werr := x.c.WriteBody(buf[:n]); werr != nil {
 			resp.Abort()
 			return result{outcome: abandoned, final: true}, nil
 		}
 		if errors.Is(err, io.EOF) {
-			break
+			return end()
 		}
 		if err != nil {
 			return result{}, err
 		}
 	}
-	x.recordAnswer(resp.Framing != http1.ByConnection)
-	resp.Release()
-	if err := x.c.EndBody(); err != nil {
-		return result{outcome: abandoned, final: true}, nil
-	}
-	return result{complete: true, outcome: succeeded}, nil
 }
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -306,6 +306,20 @@
 	}
 }
 
+// recordBroken records that an answer of an endpoint broke off.
+func (d *directory) recordBroken(e *endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e.brokeAt = time.Now()
+}
+
+// brokeSince reports whether an answer of an endpoint has broken off since a time.
+func (d *directory) brokeSince(e *endpoint, since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return e.brokeAt.After(since)
+}
+
 // signalModelIdle triggers a report to the leader when a model is not in use here any
 // more and no other endpoint holds it: requests for other models wait for the memory that
 // it occupies. Busy models have several endpoints, and their requests end all the time.
--- a/internal/app/gateway/ending_test.go
+++ b/internal/app/gateway/ending_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -108,31 +109,102 @@
 	}
 }
 
-// Guards against a claim that nobody can make: the process lives on, and nothing tells whether it
-// broke the answer off.
+// Guards against a claim that nobody can make: the process lives on or leaves as planned, and nothing
+// tells whether it broke the answer off. The answer arrives whole and ends as the endpoint's did.
 func TestUnframedAnswerOfALivingEndpointKeepsItsFraming(t *testing.T) {
-	large := strings.Repeat("z", maxBufferedBody+100)
-	for _, c := range []struct{ path, contentType, body string }{
-		{"/stream/", eventStream, events(1, 2)},
-		{"/resume/", eventStream, events(1, 2)},
-		{"/once/", "text/plain", "hello"},
-		{"/safe/", "text/plain", "hello"},
-		{"/once/", "text/plain", large},
-	} {
+	for _, path := range []string{"/once/", "/safe/"} {
+		for _, body := range []string{"hello", strings.Repeat("z", maxBufferedBody+100)} {
+			for _, leaving := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s %d leaving=%v", path, len(body), leaving), func(t *testing.T) {
+					is := is.New(t)
+					a, claimed := askAs(t, startGateway(t, livingOrLeaving(t, "text/plain", body, leaving)), 1, "POST", path)
+					is.NoErr(a.err)
+					is.Equal(a.body, body)
+					is.True(!claimed)
+					is.True(a.closes)
+				})
+			}
+		}
+	}
+}
+
+// livingOrLeaving returns an endpoint that answers without framing and lives on, or one that says
+// that it leaves and is gone by the end of its answer.
+func livingOrLeaving(t *testing.T, contentType, body string, leaving bool) *fakeEndpoint {
+	if leaving {
+		return unframedEndpoint(t, contentType, body, true, "Leaving: 1")
+	}
+	return unframedEndpoint(t, contentType, body, false)
+}
+
+// Guards against whole streams that are cut: they end between two events, at an endpoint that lives
+// on or leaves as planned.
+func TestUnframedStreamBetweenEventsArrivesWhole(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resume/"} {
 		for _, leaving := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s %d leaving=%v", c.path, len(c.body), leaving), func(t *testing.T) {
-				is := is.New(t)
-				var fields []string
-				if leaving {
-					fields = append(fields, "Leaving: 1") // its process may be gone by the end of the answer
-				}
-				g := startGateway(t, unframedEndpoint(t, c.contentType, c.body, leaving, fields...))
-				a, claimed := askAs(t, g, 1, "POST", c.path)
-				is.NoErr(a.err)
-				is.Equal(a.body, c.body) // it arrives whole
-				is.True(!claimed)
-				is.True(a.closes)
+			for minor := range 2 {
+				t.Run(fmt.Sprintf("%s leaving=%v HTTP/1.%d", path, leaving, minor), func(t *testing.T) {
+					is := is.New(t)
+					a, _ := askAs(t, startGateway(t, livingOrLeaving(t, eventStream, events(1, 2), leaving)), minor, "POST", path)
+					is.NoErr(a.err)
+					is.Equal(a.body, events(1, 2))
+				})
+			}
+		}
+	}
+}
+
+// Guards against a stream that looks complete because this entry ended within it: without chunks its
+// end would be the end of the answer.
+func TestEndOfAnEntryWithinAStreamIsVisible(t *testing.T) {
+	for minor := range 2 {
+		t.Run(fmt.Sprint("HTTP/1.", minor), func(t *testing.T) {
+			is := is.New(t)
+			begun := make(chan struct{})
+			b := newFakeEndpoint(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+				unframed(c, r, eventStream, events(1, 2))
+				close(begun)
+				_, _ = c.Read(make([]byte, 1)) // until the gateway closes the connection
+				return false
 			})
+			g := startGateway(t, b)
+			go func() {
+				<-begun
+				time.Sleep(20 * time.Millisecond) // the events are on their way
+				g.Kill()
+			}()
+			a, _ := askAs(t, g, minor, "POST", "/stream/")
+			is.True(a.err != nil)
+		})
+	}
+}
+
+// Guards against framed answers that are cut, or framed in two ways, and look complete.
+func TestFramedAnswerThatIsCutDoesNotLookComplete(t *testing.T) {
+	for name, raw := range map[string]string{
+		"fewer bytes than the length":       "Content-Length: 100\r\n\r\n" + events(1, 2),
+		"two lengths":                       "Content-Length: 5\r\nContent-Length: 7\r\n\r\nhello",
+		"a chunk cut in its size":           "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n1",
+		"a chunk cut in its data":           "Transfer-Encoding: chunked\r\n\r\n7\r\nid: ",
+		"chunks cut before the last one":    "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n",
+		"chunks cut in the trailer":         "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n0\r\nX: y",
+		"a last chunk, but within an event": "Transfer-Encoding: chunked\r\n\r\n6\r\nid: 1\n\r\n0\r\n\r\n",
+	} {
+		for _, path := range []string{"/stream/", "/resume/", "/once/", "/safe/"} {
+			if strings.Contains(name, "within an event") && path != "/stream/" && path != "/resume/" {
+				continue // a plain answer has no events
+			}
+			for minor := range 2 {
+				t.Run(fmt.Sprintf("%s %s HTTP/1.%d", path, name, minor), func(t *testing.T) {
+					is := is.New(t)
+					b := newFakeEndpoint(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+						_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%s", r.Header.Get("Id"), raw)
+						return false
+					})
+					a, complete := askAs(t, startGateway(t, b), minor, "POST", path)
+					is.True(!complete || a.status == http.StatusBadGateway)
+				})
+			}
 		}
 	}
 }
--- a/internal/app/gateway/endpoint.go
+++ b/internal/app/gateway/endpoint.go
@@ -24,6 +24,7 @@
 	failureShare float64
 	judgedAt     time.Time
 	avoidUntil   time.Time
+	brokeAt      time.Time                // when an answer of it broke off last
 	removed      bool                     // no longer listed; kept while requests run there
 	missingAt    map[fleet.Want]time.Time // when it answered that it does not hold the model or adapter
 	counts       map[fleet.Want]*runCounts
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"math"
@@ -13,6 +12,7 @@
 	"github.com/cassiapass/cassiapass/internal/adapter/http1"
 	"github.com/cassiapass/cassiapass/internal/core/allowance"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
+	"github.com/cassiapass/cassiapass/internal/core/ending"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/limit"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
@@ -64,7 +64,6 @@
 	firstByte       time.Duration      // time until the first byte of the answer
 	eventsSent      int                // stream events forwarded
 	framing         http1.Framing      // of the newest answer
-	tail            []byte             // last bytes forwarded of a body that is forwarded as it arrives
 	lastEndpoint    fleet.EndpointID   // the one that it was sent to last
 }
 
@@ -73,6 +72,7 @@
 	status int
 	header http.Header
 	body   []byte
+	end    ending.Verdict // Whole or Unknown
 }
 
 // handle answers one request. It returns false if the connection must not be used
@@ -371,7 +371,7 @@
 		return false
 	case x.endpointFailure != nil:
 		// An endpoint's own error answer, forwarded unchanged.
-		ok := x.c.WriteResponse(x.endpointFailure.status, x.endpointFailure.header, x.endpointFailure.body, x.r.Method == http.MethodHead) == nil
+		ok := x.writeAnswer(*x.endpointFailure) == nil
 		x.log("failed_by_endpoint", x.endpointFailure.status)
 		return ok
 	case f == unknown && time.Until(x.deadline) < minTimeLeft:
@@ -419,11 +419,6 @@
 	return ok
 }
 
-// endsInEvent reports whether a body that was forwarded as it arrived ends within an event.
-func (x *exchange) endsInEvent() bool {
-	return x.route != nil && x.route.Repeat == deploy.Stream && len(x.tail) > 0 && !bytes.HasSuffix(x.tail, eventEnd) && !bytes.HasSuffix(x.tail, crlfEventEnd)
-}
-
 func (x *exchange) log(event string, status int) {
 	took := time.Since(x.arrived)
 	x.g.metrics.observeRequest(event, x.reason, took, x.waited, x.firstByte)
@@ -446,7 +441,7 @@
 		ev.Str("endpoint", string(x.lastEndpoint))
 	}
 	if x.framing != "" {
-		ev.Str("framing", string(x.framing)).Int("events", x.eventsSent).Bool("ends_in_event", x.endsInEvent())
+		ev.Str("framing", string(x.framing)).Int("events", x.eventsSent)
 	}
 	if x.reason != "" {
 		ev.Str("reason", string(x.reason))
--- a/internal/app/gateway/liveness.go
+++ b/internal/app/gateway/liveness.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/adapter/sockets"
+	"github.com/cassiapass/cassiapass/internal/core/ending"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 )
 
@@ -15,6 +17,9 @@
 	// livenessTimeout bounds the check whether a process still accepts connections. A host
 	// that is up answers within about 3 ms, whether or not anything listens there.
 	livenessTimeout = 250 * time.Millisecond
+	// livenessSettle is how long a connection that was accepted must stay open: a process that
+	// ends closes its listener and its connections within less.
+	livenessSettle = 5 * time.Millisecond
 	// livenessTTL is how long the result for one incarnation is used without another
 	// check: up to 64 requests break off together.
 	livenessTTL = time.Second
@@ -30,9 +35,9 @@
 
 // livenessCheck is one check of one incarnation of an endpoint.
 type livenessCheck struct {
-	done  chan struct{} // closed when ended is known
-	ended bool
-	at    time.Time
+	done    chan struct{} // closed when process is known
+	process ending.Process
+	at      time.Time
 }
 
 func newLivenessChecker() *livenessChecker {
@@ -43,21 +48,26 @@
 // that ask at the same moment share one check. The end of a process that has already
 // restarted is not detected here; its incarnation on the list shows it.
 func (s *livenessChecker) hasEnded(id fleet.EndpointID, addr string) bool {
+	return s.check(id, addr, time.Now().Add(-livenessTTL)) == ending.Gone
+}
+
+// check returns the state of the process at addr, from a check that began after since.
+func (s *livenessChecker) check(id fleet.EndpointID, addr string, since time.Time) ending.Process {
 	now := time.Now()
 	s.mu.Lock()
 	l, known := s.checks[id]
-	if !known || now.Sub(l.at) > livenessTTL {
+	if !known || l.at.Before(since) {
 		s.evict(now)
 		l = &livenessCheck{done: make(chan struct{}), at: now}
 		s.checks[id] = l
 		go func() {
 			defer close(l.done)
-			l.ended = refusesConnections(addr)
+			l.process = probe(addr)
 		}()
 	}
 	s.mu.Unlock()
 	<-l.done
-	return l.ended
+	return l.process
 }
 
 // evict drops old checks. The caller holds mu.
@@ -69,15 +79,23 @@
 	}
 }
 
-// refusesConnections reports whether a host is up and nothing listens at addr. Silence
-// proves nothing: the network path may be cut.
-func refusesConnections(addr string) bool {
+// probe finds out whether a process listens at addr. Silence proves nothing: the network path may be
+// cut. A process that is ending may still accept a connection and reset it a moment later.
+func probe(addr string) ending.Process {
 	d := sockets.Dialer(livenessTimeout)
 	c, err := d.Dial("tcp", addr)
-	if err == nil {
-		_ = c.Close()
-		return false
-	}
 	var timeout net.Error
-	return errors.Is(err, syscall.ECONNREFUSED) && !(errors.As(err, &timeout) && timeout.Timeout())
+	switch {
+	case err == nil:
+		defer c.Close()
+		_ = c.SetReadDeadline(time.Now().Add(livenessSettle))
+		_, err = c.Read(make([]byte, 1))
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return ending.Gone
+		}
+		return ending.Alive
+	case errors.Is(err, syscall.ECONNREFUSED) && !(errors.As(err, &timeout) && timeout.Timeout()):
+		return ending.Gone
+	}
+	return ending.NotChecked
 }
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/cassiapass/cassiapass/internal/adapter/opshttp"
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/core/allowance"
+	"github.com/cassiapass/cassiapass/internal/core/ending"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 )
@@ -159,6 +160,11 @@
 	m.set.GetOrCreateCounter(`cassiapass_gateway_answers_total{framing="` + string(f) + `"}`).Inc()
 }
 
+// countUnframed counts an answer that ended with its connection.
+func (m *metrics) countUnframed(v ending.Verdict) {
+	m.set.GetOrCreateCounter(`cassiapass_gateway_unframed_answers_total{verdict="` + v.String() + `"}`).Inc()
+}
+
 // countBroken counts an answer that an endpoint broke off.
 func (m *metrics) countBroken(ended bool) {
 	name := `cassiapass_gateway_answers_broken_total{endpoint="alive"}`
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -80,10 +80,10 @@
 	}
 }
 
-// recordAnswer records that an endpoint answered the request completely and still runs. An
-// answer that ends with its connection does not show that.
-func (x *exchange) recordAnswer(framed bool) {
-	if f, named := x.fingerprint(); named && framed {
+// recordAnswer records that an endpoint answered the request completely and still runs, if that is
+// proved.
+func (x *exchange) recordAnswer(proved bool) {
+	if f, named := x.fingerprint(); named && proved {
 		x.g.suspects.recordAnswer(time.Now(), f)
 	}
 }
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -9,42 +9,45 @@
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/adapter/http1"
+	"github.com/cassiapass/cassiapass/internal/core/ending"
 )
 
 // eventEnd ends an event of a stream.
 var eventEnd = []byte("\n\n")
 
-// crlfEventEnd is the same with the longer line breaks.
-var crlfEventEnd = []byte("\r\n\r\n")
-
 // maxEvent bounds one event of a stream that may be resumed, in bytes.
 const maxEvent = 256 << 10
 
 // forwardStream forwards a stream of events. One that may be resumed is forwarded in
 // whole events only: another endpoint continues with the next event, and a partial
 // event before it would corrupt the stream.
-func (x *exchange) forwardStream(resp *http1.Response) (result, error) {
-	if err := x.writeHead(resp); err != nil {
+func (x *exchange) forwardStream(e *endpoint, resp *http1.Response) (result, error) {
+	if err := x.writeHead(resp, true); err != nil {
 		resp.Abort()
 		return result{outcome: abandoned, final: true}, nil
 	}
-	if !x.route.Resumable {
-		return x.forwardBody(resp)
+	if x.route.Resumable {
+		return x.forwardWholeEvents(e, resp)
+	}
+	var events ending.Events
+	observe := func(b []byte) {
+		events.Write(b)
+		x.eventsSent = events.Completed()
 	}
-	return x.forwardWholeEvents(resp)
+	return x.forwardBody(resp, observe, func() (result, error) { return x.endStream(e, resp, events.Content()) })
 }
 
 // resumeStream continues, with this endpoint's answer, a stream that broke off at another
 // one. The caller already has the head of the first answer.
-func (x *exchange) resumeStream(resp *http1.Response) (result, error) {
+func (x *exchange) resumeStream(e *endpoint, resp *http1.Response) (result, error) {
 	if resp.Status != http.StatusOK {
 		return result{}, errors.New("the stream was not resumed: status " + strconv.Itoa(resp.Status))
 	}
-	return x.forwardWholeEvents(resp)
+	return x.forwardWholeEvents(e, resp)
 }
 
 // forwardWholeEvents forwards whole events and keeps the id of the newest.
-func (x *exchange) forwardWholeEvents(resp *http1.Response) (result, error) {
+func (x *exchange) forwardWholeEvents(e *endpoint, resp *http1.Response) (result, error) {
 	var rest []byte
 	buf := make([]byte, streamBuffer)
 	last := time.Now()
@@ -61,14 +64,9 @@
 		rest = append(rest[:0], rest[whole:]...)
 		switch {
 		case errors.Is(err, io.EOF) && len(rest) > 0:
-			return result{}, errors.New("the stream ended within an event")
+			return x.endStream(e, resp, ending.Unfinished)
 		case errors.Is(err, io.EOF):
-			x.recordAnswer(resp.Framing != http1.ByConnection)
-			resp.Release()
-			if x.c.EndBody() != nil {
-				return result{outcome: abandoned, final: true}, nil
-			}
-			return result{complete: true, outcome: succeeded}, nil
+			return x.endStream(e, resp, ending.Opaque)
 		case err != nil:
 			return result{}, err
 		case len(rest) > maxEvent:
@@ -99,12 +97,6 @@
 	return x.c.WriteBody(out)
 }
 
-// keepTail returns the last bytes of what was forwarded, up to the length of the end of an event.
-func keepTail(tail, b []byte) []byte {
-	tail = append(tail, b...)
-	return tail[max(0, len(tail)-len(crlfEventEnd)):]
-}
-
 // wholeEventsLen returns the length of the whole events at the start of b.
 func wholeEventsLen(b []byte) int {
 	total := 0
--- a/internal/app/gateway/streams_test.go
+++ b/internal/app/gateway/streams_test.go
@@ -190,7 +190,7 @@
 	is := is.New(t)
 	b := newFakeEndpoint(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
 		head(c, r)
-		chunk(c, "abc")
+		chunk(c, event(1))
 		_, err := c.Write([]byte("0\r\n\r\n"))
 		return err == nil
 	})
@@ -208,7 +208,7 @@
 					disturbed.Add(1)
 					continue
 				}
-				if body, err := io.ReadAll(r.Body); r.StatusCode != http.StatusOK || string(body) != "abc" || err != nil {
+				if body, err := io.ReadAll(r.Body); r.StatusCode != http.StatusOK || string(body) != event(1) || err != nil {
 					disturbed.Add(1)
 				}
 				_ = c.c.Close()
