agent: an unframed answer of an engine is settled before it counts as answered

What a caller saw: outcome answered and half a JSON document. An engine broke off a plain answer that had neither length nor chunks; the agent asks for an end mark in event streams of status 200 only and took the end of the connection for the end of every other answer.

TestUnframedAnswersOfEnginesAreSettled/cut_stream=false failed on the code before. The agent uses core/ending now. What that leaves unknown is resumed at the byte reached: the engine's framed answer to that (perhaps empty) settles it; an engine that can't resume leaves the outcome unknown, as it is.

--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -110,7 +110,8 @@
 		_ = res.Body.Close()
 		return nil, fmt.Errorf("%w: %q instead of %q", port.ErrCrossed, got, id)
 	}
-	return &port.Response{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
+	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || req.Method == http.MethodHead
+	return &port.Response{Status: res.StatusCode, Header: res.Header, Body: res.Body, Framed: framed}, nil
 }
 
 // orderBody is the body of a load or unload order.
--- a/internal/app/agent/runs.go
+++ b/internal/app/agent/runs.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
+	"github.com/cassiapass/cassiapass/internal/core/ending"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/core/stream"
@@ -186,7 +187,7 @@
 		n, err = res.Body.Read(buf[:n])
 		a.write(r, buf[:n])
 		if errors.Is(err, io.EOF) {
-			return a.checkComplete(r, events, res.Status)
+			return a.checkEnd(r, events && res.Status == http.StatusOK, res.Framed)
 		}
 		if err != nil {
 			return err
@@ -194,16 +195,30 @@
 	}
 }
 
-var errNoEndMark = errors.New("the stream ended without its end mark")
+var (
+	errNoEndMark  = errors.New("the stream ended without its end mark")
+	errEndUnknown = errors.New("the answer ended with its connection, which a crash does as well")
+)
 
-// checkComplete checks for the end mark in an answer whose transport ended properly.
-func (a *Agent) checkComplete(r *run, events bool, status int) error {
+// checkEnd checks an answer whose transport ended in order. Streams have an end mark. What is left
+// unknown is an error, too: the engine is asked for the rest, and a framed answer to that settles it.
+func (a *Agent) checkEnd(r *run, marked, framed bool) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if events && status == http.StatusOK && !bytes.Contains(r.tail, sseEndMark) {
+	end := ending.Answer{Framed: framed}
+	if marked {
+		end.Content = ending.Unfinished
+		if bytes.Contains(r.tail, sseEndMark) {
+			end.Content = ending.Finished
+		}
+	}
+	switch ending.Judge(end) {
+	case ending.Whole:
+		return nil
+	case ending.BrokenOff:
 		return errNoEndMark
 	}
-	return nil
+	return errEndUnknown
 }
 
 // setHead sets the head of the answer, unless it was set before a resume.
--- a/internal/app/dev/requests_test.go
+++ b/internal/app/dev/requests_test.go
@@ -70,6 +70,34 @@
 	is.NoErr(checkAnswer(body, <-done, 200))
 }
 
+// Guards against a plain answer that its engine broke off, with neither length nor chunks, and that
+// its caller gets as answered; and against one that is whole and not delivered.
+func TestUnframedAnswersOfEnginesAreSettled(t *testing.T) {
+	for name, f := range map[string]fake.EngineFaults{
+		"cut":   {CutAfter: 60, CutAnswers: 1, CutQuietly: true},
+		"whole": {Unframed: 1},
+	} {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s stream=%v", name, stream), func(t *testing.T) {
+				is := is.New(t)
+				s := start(t, nil)
+				warm(t, s)
+				body := prompt("summary", 2, 20)
+				if !stream {
+					body = strings.Replace(body, `"stream":true`, `"stream":false`, 1)
+				}
+				want := send(s.api(0), KeyEast, chat, body)
+				is.Equal(want.outcome, "answered")
+				s.Agents[0].Engine.Inject(f)
+				got := send(s.api(0), KeyEast, chat, body)
+				is.NoErr(got.err)
+				is.Equal(got.outcome, "answered")
+				is.Equal(got.body, want.body)
+			})
+		}
+	}
+}
+
 // warm loads the summary model.
 func warm(t *testing.T, s *System) {
 	t.Helper()
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -34,10 +34,12 @@
 type EngineFaults struct {
 	CutAfter    int // bytes after which an answer is cut, while CutAnswers > 0
 	CutAnswers  int
-	HangAnswers int // answers that stall after their first bytes with the connection open
-	CrossedIDs  int // answers that carry another request's id
-	FailLoads   int // loads that are refused
-	LostOrders  int // orders that are executed but whose answer is lost
+	CutQuietly  bool // such a cut has no length or chunks and closes the connection in the ordinary way
+	Unframed    int  // answers without length or chunks that are whole
+	HangAnswers int  // answers that stall after their first bytes with the connection open
+	CrossedIDs  int  // answers that carry another request's id
+	FailLoads   int  // loads that are refused
+	LostOrders  int  // orders that are executed but whose answer is lost
 }
 
 // Engine is a fake model engine with an OpenAI-style interface, load and unload
@@ -407,10 +409,15 @@
 
 // send writes an answer from offset on, with the injected faults.
 func (e *Engine) send(w http.ResponseWriter, r *http.Request, id string, a *answer, offset int) {
-	cut, hang, crossed := e.nextFaults()
-	if crossed {
+	f := e.nextFaults()
+	cut, hang := f.cut, f.hang
+	if f.crossed {
 		id = "somebody-else/1"
 	}
+	if f.unframed {
+		sendUnframed(w, id, a, offset, cut)
+		return
+	}
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("Content-Type", a.ctype)
 	w.WriteHeader(a.status)
@@ -445,22 +452,52 @@
 	}
 }
 
-func (e *Engine) nextFaults() (cut int, hang, crossed bool) {
+// sendUnframed writes an answer, or its first bytes if cut is set, and ends it by closing the
+// connection.
+func sendUnframed(w http.ResponseWriter, id string, a *answer, offset, cut int) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	p, done, grown := a.next(offset)
+	for !done && (cut == 0 || len(p) < cut) {
+		<-grown
+		p, done, grown = a.next(offset)
+	}
+	if cut > 0 {
+		p = p[:min(cut, len(p))]
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nContent-Type: %s\r\n\r\n%s", a.status, id, a.ctype, p)
+}
+
+// answerFaults are the faults of one answer.
+type answerFaults struct {
+	cut                     int // bytes after which it is cut; 0 if it is not
+	hang, crossed, unframed bool
+}
+
+func (e *Engine) nextFaults() answerFaults {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	var f answerFaults
 	if e.faults.CutAnswers > 0 {
 		e.faults.CutAnswers--
-		cut = e.faults.CutAfter
+		f.cut, f.unframed = e.faults.CutAfter, e.faults.CutQuietly
+	}
+	if e.faults.Unframed > 0 {
+		e.faults.Unframed--
+		f.unframed = true
 	}
 	if e.faults.HangAnswers > 0 {
 		e.faults.HangAnswers--
-		hang = true
+		f.hang = true
 	}
 	if e.faults.CrossedIDs > 0 {
 		e.faults.CrossedIDs--
-		crossed = true
+		f.crossed = true
 	}
-	return cut, hang, crossed
+	return f
 }
 
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -39,6 +39,7 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	Framed bool // a length or chunks show the end of Body; else it ends with the connection
 }
 
 // Backend runs requests: an engine or a plain service.
