--- a/internal/app/gateway/ending.go
+++ b/internal/app/gateway/ending.go
@@ -37,7 +37,7 @@
 	end := bodyEnd{ending.Judge(a), a.Process}
 	if !a.Framed {
 		x.g.metrics.countUnframed(end.verdict)
-		x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Stringer("verdict", end.verdict).Bool("within_event", content == ending.Unfinished).
+		x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Stringer("verdict", end.verdict).Bool("within_event", content == ending.Unfinished).Bool("reset", a.Failed).
 			Bool("alive", a.Process == ending.Alive).Bool("leaving", a.Leaving).Bool("others_broke", a.OthersBroke).Msg("answer_ended_with_connection")
 	}
 	return end
--- a/internal/app/gateway/stop.go
+++ b/internal/app/gateway/stop.go
@@ -138,8 +138,16 @@
 	}
 }
 
-// Kill stops at once.
+// Kill stops at once. Answers under way are cut here and not by the end of the process, which would
+// close their connections in order.
 func (g *Gateway) Kill() {
 	g.cancel()
 	_ = g.listener.Close()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c, busy := range g.conns {
+		if busy {
+			c.Close()
+		}
+	}
 }
