--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -59,6 +59,7 @@
 	x.g.cfg.Dialect.WriteRequest(h, ForwardFields{TimeLeft: time.Until(x.deadline), Endpoint: e.Name(), Priority: x.requester.priority(x.route), LastEvent: x.lastEvent,
 		Authenticated: x.requester.keyed, Customer: x.requester.customerName()})
 	sent := time.Now()
+	x.sentAt, x.firstEventAt = sent, time.Time{}
 	cc.Send(x.r.Method, x.r.Target, x.r.Host, h, x.r.Body)
 	resp, v, err := x.receive(cc, e)
 	x.g.dir.sendEnded(e, sending, err == nil && !v.NotRun, v.NotRun && !v.ModelMissing && !v.WrongEndpoint)
--- a/internal/app/gateway/dialect.go
+++ b/internal/app/gateway/dialect.go
@@ -30,6 +30,10 @@
 	MaxOutput int           // maximum of output tokens; 0 if not given
 	Tokens    int           // of the prompt and the maximum output together
 	HasTokens bool          // Tokens is given
+	// Parts are the ids of the parts of its prompt that other requests may share, in order, each
+	// once. PartsUnreadable is set if some of what names them could not be read.
+	Parts           []string
+	PartsUnreadable bool
 
 	Credential customer.Credential
 }
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -64,6 +64,8 @@
 	firstByte       time.Duration      // time until the first byte of the answer
 	eventsSent      int                // stream events forwarded
 	framing         http1.Framing      // of the newest answer
+	sentAt          time.Time          // when the newest attempt was sent
+	firstEventAt    time.Time          // when the first event of the newest answer came; zero before
 	lastEndpoint    fleet.EndpointID   // the one that it was sent to last
 }
 
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -27,6 +27,17 @@
 	return x.fp, x.fpKnown
 }
 
+// partNames returns the fingerprints of the shared parts of the request's prompt, for logs.
+func (x *exchange) partNames() []string {
+	var out []string
+	for _, id := range x.info.Parts {
+		if f, named := x.g.suspects.part(id); named {
+			out = append(out, f.String())
+		}
+	}
+	return out
+}
+
 // standing returns how the request is to be treated because of the endpoints that ended
 // under it, and sets the reason if it must not run.
 func (x *exchange) standing() poison.Standing {
@@ -62,8 +73,9 @@
 func (x *exchange) recordEnd(f poison.Fingerprint, counts bool, id fleet.EndpointID, addr string) {
 	ended := x.g.liveness.hasEnded(id, addr)
 	x.g.metrics.countBroken(ended)
-	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(id)).Stringer("fingerprint", f).
-		Str("caller", x.c.Remote()).Bool("ended", ended).Bool("counts", counts).Msg("endpoint_broke_under")
+	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(id)).Stringer("fingerprint", f).Strs("parts", x.partNames()).
+		Str("caller", x.c.Remote()).Bool("ended", ended).Bool("counts", counts).Dur("sent_ago", time.Since(x.sentAt)).
+		Int("events", x.eventsSent).Msg("endpoint_broke_under")
 	switch {
 	case !counts:
 	case ended:
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -32,7 +32,7 @@
 	var events ending.Events
 	observe := func(b []byte) {
 		events.Write(b)
-		x.eventsSent = events.Completed()
+		x.countEvents(events.Completed() - x.eventsSent)
 	}
 	return x.forwardBody(resp, observe, func() (result, error) { return x.endStream(e, resp, events.Content()) })
 }
@@ -56,7 +56,7 @@
 		last = x.g.metrics.observeGap(last)
 		rest = append(rest, buf[:n]...)
 		whole := wholeEventsLen(rest)
-		x.eventsSent += bytes.Count(rest[:whole], eventEnd)
+		x.countEvents(bytes.Count(rest[:whole], eventEnd))
 		if werr := x.writeEvents(rest[:whole]); werr != nil {
 			resp.Abort()
 			return result{outcome: abandoned, final: true}, nil
@@ -75,6 +75,14 @@
 	}
 }
 
+// countEvents counts events of the newest answer.
+func (x *exchange) countEvents(n int) {
+	x.eventsSent += n
+	if n > 0 && x.firstEventAt.IsZero() {
+		x.firstEventAt = time.Now()
+	}
+}
+
 // writeEvents writes whole events to the caller, without those that it already has.
 func (x *exchange) writeEvents(b []byte) error {
 	if len(b) == 0 {
--- a/internal/app/gateway/suspects.go
+++ b/internal/app/gateway/suspects.go
@@ -64,6 +64,17 @@
 	return key.Fingerprint(parts...), true
 }
 
+// part identifies a part of prompts; false until a leader has published the key.
+func (s *suspects) part(id string) (poison.Fingerprint, bool) {
+	s.mu.Lock()
+	key := s.key
+	s.mu.Unlock()
+	if len(key) == 0 {
+		return poison.Fingerprint{}, false
+	}
+	return key.Part(id), true
+}
+
 // standing returns the more severe of what is known here and what the leader published.
 func (s *suspects) standing(now time.Time, f poison.Fingerprint) poison.Standing {
 	s.mu.Lock()
--- a/internal/core/poison/fingerprint.go
+++ b/internal/core/poison/fingerprint.go
@@ -37,6 +37,10 @@
 	return f
 }
 
+// Part returns the fingerprint of a part of prompts. It differs from that of every request: those
+// have several parts.
+func (k Key) Part(id string) Fingerprint { return k.Fingerprint([]byte(id)) }
+
 // String returns f in hexadecimal, as used in logs and by operators.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -45,7 +45,7 @@
 # find simple mistakes; a failing input is stored under testdata/fuzz and becomes a test. The
 # end is a number of inputs: at a time limit the fuzzer itself may fail with an exceeded deadline.
 echo "== fuzz what is read from outside, 100000 inputs each"
-for target in FuzzListEntry FuzzReport FuzzDocument FuzzCredential FuzzPause; do
+for target in FuzzListEntry FuzzReport FuzzDocument FuzzCredential FuzzPause FuzzParts; do
   go test ./platform -run '^$' -fuzz "^$target\$" -fuzztime 100000x -fuzzminimizetime 20x | grep -E '^(ok|FAIL|---)|context|testdata'
 done
 
