gateway, controller, core/poison: parts of prompts are suspects of their own, tried one at a time

Cause: the unit of guilt was the whole content of a request. No two of these are alike, so 130 of 131 reported ends stayed first ends, and nothing was quarantined. A wider hash is no answer: what is shared is shared by the innocent as well.

Change: each part but the last is a suspect in the same books, beside the content. An end counts against the parts of requests whose first event was due; a stream with events for 100 ms clears its parts, at once and everywhere. While a part is suspect, requests with it run one at a time over all entries (the leader hands out trials, a lone entry at most one, of parts with one end), on the endpoint with the fewest requests; the rest waits or is refused as not run with a time. A request that ran where an endpoint ended gets no trial of its own. The end of a trial of one part convicts it with the second end; an end under two suspect parts proves nothing against either alone; ends without a trial convict after three and 0.5 s, in which every entry that has an answer on the part has cleared it. Quarantines are in the log as before; a new leader hears of every entry's ends and trials again.

Ruled out by the record: ends not seen, or late at the leader (all within 15 ms).

--- a/internal/app/controller/suspects.go
+++ b/internal/app/controller/suspects.go
@@ -24,6 +24,7 @@
 	attemptedAt time.Time       // start of the last attempt to commit
 	publishedAt time.Time       // last publication to entries
 	sweptAt     time.Time       // last check for quarantines that have ended
+	trials      poison.Trials   // of suspect parts of prompts
 }
 
 // beginSuspects starts from the registry in the log. What the previous leader knew beyond it
@@ -41,23 +42,27 @@
 	}
 	d, urgent := &c.suspects, false
 	for _, f := range answered {
-		was := d.Standing(now, f)
+		was, part := d.Standing(now, f), d.IsPart(f)
+		d.trials.Cleared(f)
 		if d.Clear(now, f) {
-			d.unpublished, d.due, urgent = true, d.due || was.Quarantined, urgent || was.Quarantined
-			c.cfg.Log.Info().Stringer("fingerprint", f).Str("entry", string(host)).Int("ends", was.Ends).Bool("quarantined", was.Quarantined).Msg("request_cleared")
+			d.unpublished, d.due, urgent = true, d.due || was.Quarantined, urgent || was.Quarantined || part
+			c.cfg.Log.Info().Stringer("fingerprint", f).Str("entry", string(host)).Int("ends", was.Ends).Bool("quarantined", was.Quarantined).Bool("part", part).Msg("request_cleared")
 		}
 	}
 	for _, e := range ends {
+		d.trials.Over(string(host), e.Request)
 		isNew, quarantined := d.Ended(now, e)
 		if !isNew {
 			continue
 		}
 		st := d.Standing(now, e.Request)
-		d.unpublished, d.due, urgent = true, d.due || quarantined, urgent || st.Ends > 1
-		c.cfg.Log.Info().Stringer("fingerprint", e.Request).Str("endpoint", e.Incarnation).Str("entry", string(host)).Int("ends", st.Ends).Msg("endpoint_ended_under_request")
+		// The end may have shown that another part's trial proved nothing: what is due is worked out
+		// from the book.
+		d.unpublished, d.due, urgent = true, d.due || quarantined || e.Part, urgent || st.Ends > 1 || e.Part
+		c.cfg.Log.Info().Stringer("fingerprint", e.Request).Str("endpoint", e.Incarnation).Str("entry", string(host)).Int("ends", st.Ends).Bool("part", e.Part).Bool("trial", e.Trial).Msg("endpoint_ended_under_request")
 		if quarantined {
 			c.met.countQuarantined()
-			c.cfg.Log.Warn().Stringer("fingerprint", e.Request).Strs("endpoints", d.IncarnationsOf(e.Request)).Msg("request_quarantined")
+			c.cfg.Log.Warn().Stringer("fingerprint", e.Request).Bool("part", e.Part).Strs("endpoints", d.IncarnationsOf(e.Request)).Msg("request_quarantined")
 		}
 	}
 	if urgent {
@@ -65,10 +70,44 @@
 	}
 }
 
+// trial answers an entry that asks for a trial.
+func (c *Controller) trial(ctx context.Context, p wire.TrialParams) (wire.TrialResult, error) {
+	answer := make(chan wire.TrialResult, 1)
+	c.post(func(now time.Time) { answer <- c.takeTrial(now, p) })
+	select {
+	case r := <-answer:
+		return r, nil
+	case <-ctx.Done():
+		return wire.TrialResult{}, ctx.Err()
+	case <-c.ctx.Done():
+		return wire.TrialResult{}, c.ctx.Err()
+	}
+}
+
+func (c *Controller) takeTrial(now time.Time, p wire.TrialParams) wire.TrialResult {
+	if c.term == 0 {
+		return wire.TrialResult{}
+	}
+	d, by := &c.suspects, string(p.Host)
+	for _, f := range p.Over {
+		d.trials.Over(by, f)
+	}
+	for _, f := range p.Take {
+		if d.Standing(now, f).Quarantined {
+			return wire.TrialResult{Leading: true}
+		}
+	}
+	granted := len(p.Take) > 0 && d.trials.Take(now, by, p.Take)
+	for _, f := range p.Take {
+		c.cfg.Log.Info().Stringer("fingerprint", f).Str("entry", by).Int("parts", len(p.Take)).Int("ends", d.Standing(now, f).Ends).Bool("granted", granted).Msg("suspect_trial")
+	}
+	return wire.TrialResult{Leading: true, Granted: granted}
+}
+
 // publishSuspects publishes the requests under which endpoints ended. Callers do so at once when
-// a quarantine is set or lifted and for a request one end short of it, as the next run may
-// end another endpoint with all requests there. A request under which one endpoint ended
-// waits for the next regular publication.
+// a quarantine is set or lifted, for a request one end short of it, as the next run may end another
+// endpoint with all requests there, and for parts of prompts. A request under which one endpoint
+// ended waits for the next regular publication.
 func (c *Controller) publishSuspects(now time.Time) {
 	d := &c.suspects
 	if !d.unpublished || len(d.reg.Key) == 0 {
@@ -85,6 +124,7 @@
 	d := &c.suspects
 	if now.Sub(d.sweptAt) >= sweepInterval {
 		d.sweptAt = now
+		d.trials.Sweep(now)
 		if len(d.Sweep(now)) > 0 {
 			d.unpublished, d.due = true, true
 		}
--- a/internal/app/ctl/quarantine.go
+++ b/internal/app/ctl/quarantine.go
@@ -19,14 +19,22 @@
 		return err
 	}
 	return x.cli.print(cases, func() {
-		x.cli.table("FINGERPRINT\tSINCE\tENDED UNDER IT", func(add func(string, ...any)) {
+		x.cli.table("FINGERPRINT\tSINCE\tKIND\tENDED UNDER IT", func(add func(string, ...any)) {
 			for _, c := range cases {
-				add("%s\t%s\t%s", c.Request, c.Quarantined.Format(time.RFC3339), strings.Join(c.Incarnations, " "))
+				add("%s\t%s\t%s\t%s", c.Request, c.Quarantined.Format(time.RFC3339), kindOf(c), strings.Join(c.Incarnations, " "))
 			}
 		})
 	})
 }
 
+// kindOf names what a case is about.
+func kindOf(c poison.Case) string {
+	if c.Part {
+		return "part"
+	}
+	return "request"
+}
+
 type liftCmd struct {
 	cli  *cli
 	Args struct {
--- a/internal/app/gateway/acquire.go
+++ b/internal/app/gateway/acquire.go
@@ -34,8 +34,8 @@
 // acquire picks an endpoint for a request and counts the request there. If there is none, it
 // returns why. A request for which a limited endpoint is chosen may wait briefly for a permit
 // there if mayWait is set, although another endpoint could take it: a limited endpoint gets
-// its part of the requests.
-func (d *directory) acquire(now time.Time, service string, want fleet.Want, tried map[fleet.EndpointID]bool, w *allowance.Waiter, mayWait bool) (*endpoint, shortage) {
+// its part of the requests. A request that runs apart goes where the fewest others run.
+func (d *directory) acquire(now time.Time, service string, want fleet.Want, tried map[fleet.EndpointID]bool, w *allowance.Waiter, mayWait, apart bool) (*endpoint, shortage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	eps, s := d.candidates(now, service, want, tried, w)
@@ -45,6 +45,9 @@
 	var limited []*endpoint
 	for first := true; len(eps) > 0; first = false {
 		i := d.choose(now, eps)
+		if apart {
+			i = leastLoaded(eps)
+		}
 		if j := slices.IndexFunc(eps, func(e *endpoint) bool { return string(e.ID) == w.Endpoint() }); first && j >= 0 {
 			i = j // a permit may have come for which it has waited
 		}
--- a/internal/app/gateway/endpoint.go
+++ b/internal/app/gateway/endpoint.go
@@ -49,6 +49,7 @@
 	reasonRetryBudget      refusalReason = "retry_budget"     // it was sent already, and the budget for further sends is used up
 	reasonLoadedLate       refusalReason = "loaded_late"      // none holds the model, and none will within the time that the request may wait
 	reasonQuarantined      refusalReason = "quarantined"      // endpoints ended while they ran it
+	reasonSuspect          refusalReason = "suspect"          // endpoints ended under a part of its prompt; another request tries that part
 	reasonStopping         refusalReason = "stopping"         // this entry stops before an answer could be complete
 	reasonOverAllowance    refusalReason = "over_allowance"   // its customer's allowance is used up
 	reasonAllowanceUnknown refusalReason = "allowance_unsure" // the leader does not report what its customer may use
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -48,25 +48,32 @@
 
 	tried           map[fleet.EndpointID]bool
 	sends           int
-	reachedSends    int                // sends that may have reached an endpoint
-	ran             int                // endpoints at which it may have run
-	headSent        bool               // the head of the answer was sent to the caller
-	lastEvent       string             // id of the newest event forwarded whole
-	endpointFailure *answer            // an endpoint's error answer, sent if no better answer arrives
-	waited          time.Duration      // time spent waiting for endpoints
-	reason          refusalReason      // why it could not be sent
-	modelETA        time.Duration      // time until its model is loaded, if it was refused for that
-	limit           limitState         // the limit for which it waited or was refused
-	pause           pauseState         // the same of a pause
-	waiter          *allowance.Waiter  // with which the last endpoint was acquired
-	fpKnown         bool               // fp is set
-	fp              poison.Fingerprint // identifies the request by its content
-	firstByte       time.Duration      // time until the first byte of the answer
-	eventsSent      int                // stream events forwarded
-	framing         http1.Framing      // of the newest answer
-	sentAt          time.Time          // when the newest attempt was sent
-	firstEventAt    time.Time          // when the first event of the newest answer came; zero before
-	lastEndpoint    fleet.EndpointID   // the one that it was sent to last
+	reachedSends    int                  // sends that may have reached an endpoint
+	ran             int                  // endpoints at which it may have run
+	headSent        bool                 // the head of the answer was sent to the caller
+	lastEvent       string               // id of the newest event forwarded whole
+	endpointFailure *answer              // an endpoint's error answer, sent if no better answer arrives
+	waited          time.Duration        // time spent waiting for endpoints
+	reason          refusalReason        // why it could not be sent
+	modelETA        time.Duration        // time until its model is loaded, if it was refused for that
+	limit           limitState           // the limit for which it waited or was refused
+	pause           pauseState           // the same of a pause
+	waiter          *allowance.Waiter    // with which the last endpoint was acquired
+	fpKnown         bool                 // fp is set
+	fp              poison.Fingerprint   // identifies the request by its content
+	quarantined     poison.Fingerprint   // fp or the part for which it is refused
+	firstByte       time.Duration        // time until the first byte of the answer
+	eventsSent      int                  // stream events forwarded
+	parts           []poison.Fingerprint // of its prompt, that other requests may share
+	trial           []poison.Fingerprint // suspect parts of which this run is a trial
+	trialUntil      time.Time
+	trialBy         trialSource
+	trialOpen       bool             // the endpoint of the trial may have ended
+	begunRecorded   bool             // recordProven was called
+	framing         http1.Framing    // of the newest answer
+	sentAt          time.Time        // when the newest attempt was sent
+	firstEventAt    time.Time        // when the first event of the newest answer came; zero before
+	lastEndpoint    fleet.EndpointID // the one that it was sent to last
 }
 
 // answer is a complete answer of an endpoint.
@@ -145,7 +152,11 @@
 
 // run sends the request until it is answered or no answer is possible.
 func (x *exchange) run(ctx context.Context) requestOutcome {
+	defer x.endTrial()
 	for {
+		if !x.clearParts(ctx) {
+			return x.outcomeSoFar()
+		}
 		e := x.acquire(ctx)
 		if e == nil {
 			return x.outcomeSoFar()
@@ -159,6 +170,10 @@
 			x.giveBack(e)
 			return x.outcomeSoFar()
 		}
+		if x.partsSuspect() {
+			x.giveBack(e)
+			continue
+		}
 		x.sends++
 		x.lastEndpoint = e.ID
 		res := x.attempt(ctx, e)
@@ -264,7 +279,7 @@
 			x.reason = reasonKeyRevoked
 			return nil
 		}
-		e, short := x.g.dir.acquire(time.Now(), x.service, x.info.Want, x.tried, w, time.Since(begin) < briefWait)
+		e, short := x.g.dir.acquire(time.Now(), x.service, x.info.Want, x.tried, w, time.Since(begin) < briefWait, len(x.trial) > 0)
 		if e != nil {
 			return e
 		}
@@ -401,6 +416,8 @@
 		after = fleet.RetryAfterReady(min(x.soonest(fleet.ReplicaWait), maxRetryAfter), rand.Int64N)
 	case reasonQuarantined:
 		after = x.standing().Left
+	case reasonSuspect:
+		after = fleet.RetryAfterReady(poison.TrialTimeout, rand.Int64N)
 	case reasonOverAllowance, reasonAllowanceUnknown:
 		after = x.decision.RetryAfter
 	case reasonStopping:
@@ -464,7 +481,10 @@
 		ev.Float64("cost", x.cost).Float64("rate", x.requester.customer.Allowance.Rate).Float64("chance", d.Chance).Float64("pressure", d.Pressure).Dur("age", d.Age).Bool("silent", d.Silent).Dur("after", d.RetryAfter)
 	}
 	if x.reason == reasonQuarantined {
-		ev.Stringer("fingerprint", x.fp)
+		ev.Stringer("fingerprint", x.quarantined)
+	}
+	if x.reason == reasonSuspect {
+		ev.Strs("parts", x.partNames())
 	}
 	ev.Msg("request_" + event)
 }
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -33,6 +33,9 @@
 		a.TimeLeft = time.Duration(ms) * time.Millisecond
 	}
 	a.Want.Model = h.Get("Model")
+	if p := h.Get("Parts"); p != "" {
+		a.Parts = strings.Split(p, ",")
+	}
 	a.MaxOutput, _ = strconv.Atoi(h.Get("Output")) // 0 if not given
 	a.Tokens, _ = strconv.Atoi(h.Get("Tokens"))
 	a.HasTokens = h.Get("Tokens") != ""
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -51,8 +51,10 @@
 	s.NewGauge("cassiapass_gateway_endpoints", func() float64 { return float64(g.dir.count()) })
 	s.NewGauge("cassiapass_gateway_entries_known", func() float64 { return float64(g.entries.Load()) })
 	s.NewGauge("cassiapass_gateway_retry_budget_left", g.budgetLeft)
-	s.NewGauge("cassiapass_gateway_requests_suspect", func() float64 { n, _ := g.suspects.count(time.Now()); return float64(n) })
-	s.NewGauge("cassiapass_gateway_requests_quarantined", func() float64 { _, n := g.suspects.count(time.Now()); return float64(n) })
+	s.NewGauge("cassiapass_gateway_requests_suspect", func() float64 { n, _ := g.suspects.count(time.Now(), false); return float64(n) })
+	s.NewGauge("cassiapass_gateway_requests_quarantined", func() float64 { _, n := g.suspects.count(time.Now(), false); return float64(n) })
+	s.NewGauge("cassiapass_gateway_parts_suspect", func() float64 { n, _ := g.suspects.count(time.Now(), true); return float64(n) })
+	s.NewGauge("cassiapass_gateway_parts_quarantined", func() float64 { _, n := g.suspects.count(time.Now(), true); return float64(n) })
 	opshttp.RegisterByteCounters(s, &m.rpc)
 	return m
 }
@@ -165,6 +167,11 @@
 	m.set.GetOrCreateCounter(`cassiapass_gateway_unframed_answers_total{verdict="` + v.String() + `"}`).Inc()
 }
 
+// countTrial counts a request that asked for a trial of its suspect parts.
+func (m *metrics) countTrial(granted bool, by trialSource) {
+	m.set.GetOrCreateCounter(`cassiapass_gateway_suspect_trials_total{granted="` + strconv.FormatBool(granted) + `",by="` + string(by) + `"}`).Inc()
+}
+
 // countBroken counts an answer that an endpoint broke off.
 func (m *metrics) countBroken(ended bool) {
 	name := `cassiapass_gateway_answers_broken_total{endpoint="alive"}`
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -28,24 +28,31 @@
 }
 
 // partNames returns the fingerprints of the shared parts of the request's prompt, for logs.
-func (x *exchange) partNames() []string {
+func (x *exchange) partNames() []string { return names(x.partPrints()) }
+
+func names(fs []poison.Fingerprint) []string {
 	var out []string
-	for _, id := range x.info.Parts {
-		if f, named := x.g.suspects.part(id); named {
-			out = append(out, f.String())
-		}
+	for _, f := range fs {
+		out = append(out, f.String())
 	}
 	return out
 }
 
 // standing returns how the request is to be treated because of the endpoints that ended
-// under it, and sets the reason if it must not run.
+// under it or under a part of its prompt, and sets the reason if it must not run.
 func (x *exchange) standing() poison.Standing {
 	f, named := x.fingerprint()
 	if !named {
 		return poison.Standing{}
 	}
-	st := x.g.suspects.standing(time.Now(), f)
+	now := time.Now()
+	st := x.g.suspects.standing(now, f)
+	x.quarantined = f
+	for _, p := range x.partPrints() {
+		if ps := x.g.suspects.standing(now, p); ps.Quarantined && ps.Left > st.Left {
+			st, x.quarantined = ps, p
+		}
+	}
 	if st.Quarantined {
 		x.reason = reasonQuarantined
 	}
@@ -57,9 +64,12 @@
 	checked := make(chan struct{})
 	leaving := x.g.dir.isLeaving(e)
 	f, named := x.fingerprint()
+	run := x.broken(f)
+	sentAt, events := x.sentAt, x.eventsSent
+	x.trialOpen = len(x.trial) > 0
 	go func() {
 		defer close(checked)
-		x.recordEnd(f, named && !leaving, e.ID, e.Addr)
+		x.recordEnd(run, named && !leaving, e.ID, e.Addr, sentAt, events)
 	}()
 	select {
 	case <-checked:
@@ -70,25 +80,26 @@
 // recordEnd checks whether an endpoint ended. That counts against the request unless it has
 // no fingerprint yet or the endpoint was leaving: one that leaves as planned may end under a
 // request when its time is over, which says nothing about the request.
-func (x *exchange) recordEnd(f poison.Fingerprint, counts bool, id fleet.EndpointID, addr string) {
+func (x *exchange) recordEnd(run brokenRun, counts bool, id fleet.EndpointID, addr string, sentAt time.Time, events int) {
 	ended := x.g.liveness.hasEnded(id, addr)
 	x.g.metrics.countBroken(ended)
-	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(id)).Stringer("fingerprint", f).Strs("parts", x.partNames()).
-		Str("caller", x.c.Remote()).Bool("ended", ended).Bool("counts", counts).Dur("sent_ago", time.Since(x.sentAt)).
-		Int("events", x.eventsSent).Msg("endpoint_broke_under")
+	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(id)).Stringer("fingerprint", run.request).Strs("parts", names(run.parts)).Bool("trial", run.trial).
+		Str("caller", x.c.Remote()).Bool("ended", ended).Bool("counts", counts).Dur("sent_ago", time.Since(sentAt)).
+		Int("events", events).Msg("endpoint_broke_under")
 	switch {
 	case !counts:
 	case ended:
-		x.g.suspects.recordEnd(time.Now(), f, id)
+		x.g.suspects.recordEnd(time.Now(), run, id)
 	default:
-		x.g.suspects.recordUnresolved(time.Now(), f, id)
+		x.g.suspects.recordUnresolved(time.Now(), run, id)
 	}
 }
 
 // recordSilence records that an endpoint has been silent beyond its limit.
 func (x *exchange) recordSilence(e *endpoint) {
 	if f, named := x.fingerprint(); named && !x.g.dir.isLeaving(e) {
-		x.g.suspects.recordUnresolved(time.Now(), f, e.ID)
+		x.trialOpen = len(x.trial) > 0
+		x.g.suspects.recordUnresolved(time.Now(), x.broken(f), e.ID)
 	}
 }
 
@@ -97,5 +108,6 @@
 func (x *exchange) recordAnswer(proved bool) {
 	if f, named := x.fingerprint(); named && proved {
 		x.g.suspects.recordAnswer(time.Now(), f)
+		x.recordProven()
 	}
 }
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -81,6 +81,7 @@
 	if n > 0 && x.firstEventAt.IsZero() {
 		x.firstEventAt = time.Now()
 	}
+	x.recordBegun()
 }
 
 // writeEvents writes whole events to the caller, without those that it already has.
--- a/internal/app/gateway/suspects.go
+++ b/internal/app/gateway/suspects.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,9 @@
 	key        poison.Key
 	own        *poison.Book
 	answered   *poison.Recent
+	proven     *poison.Recent // parts of prompts on which answers were begun, and their endpoints lived on
+	trials     poison.Trials  // of parts, while no leader hands them out
+	changed    chan struct{}  // closed and replaced when parts may have become suspect or been cleared
 	fromLeader map[poison.Fingerprint]leaderCase
 	mark       wire.SuspectMark
 	unresolved map[fleet.EndpointID][]unresolvedRun
@@ -38,18 +42,26 @@
 // leaderCase is what the leader published about one request.
 type leaderCase struct {
 	ends  int
+	part  bool
 	until time.Time // end of its quarantine; zero if there is none
 }
 
 // unresolvedRun is a run that broke off or stayed silent at an endpoint of which it is not
 // known whether it ended.
 type unresolvedRun struct {
+	run brokenRun
+	at  time.Time
+}
+
+// brokenRun is what an end of an endpoint counts against.
+type brokenRun struct {
 	request poison.Fingerprint
-	at      time.Time
+	parts   []poison.Fingerprint // of its prompt, if the endpoint may have begun to write its answer
+	trial   bool                 // the run was a trial, of one part
 }
 
 func newSuspects() *suspects {
-	return &suspects{own: poison.NewBook(), answered: poison.NewRecent(time.Now()), fromLeader: map[poison.Fingerprint]leaderCase{},
+	return &suspects{own: poison.NewBook(), answered: poison.NewRecent(time.Now()), proven: poison.NewRecentParts(time.Now()), changed: make(chan struct{}), fromLeader: map[poison.Fingerprint]leaderCase{},
 		unresolved: map[fleet.EndpointID][]unresolvedRun{}, urgent: make(chan struct{}, 1)}
 }
 
@@ -88,20 +100,35 @@
 	return st
 }
 
-// recordEnd records that an incarnation of an endpoint ended under a request.
-func (s *suspects) recordEnd(now time.Time, f poison.Fingerprint, id fleet.EndpointID) {
+// recordEnd records that an incarnation of an endpoint ended under a run.
+func (s *suspects) recordEnd(now time.Time, r brokenRun, id fleet.EndpointID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recordEndLocked(now, f, id)
+	s.recordEndLocked(now, r, id)
 }
 
 // recordEndLocked is recordEnd for callers that hold mu. A request does not become suspect
-// if an equal one was answered recently.
-func (s *suspects) recordEndLocked(now time.Time, f poison.Fingerprint, id fleet.EndpointID) {
-	if s.answered.Has(now, f) {
-		return
+// if an equal one was answered recently, and a part does not if another request with it was.
+func (s *suspects) recordEndLocked(now time.Time, r brokenRun, id fleet.EndpointID) {
+	if !s.answered.Has(now, r.request) {
+		s.addEnd(now, poison.End{Request: r.request, Incarnation: string(id), Cold: s.answered.Cold(now)})
+	}
+	var parts []poison.Fingerprint
+	for _, f := range r.parts {
+		if !s.proven.Has(now, f) {
+			parts = append(parts, f)
+		}
 	}
-	e := poison.End{Request: f, Incarnation: string(id), Cold: s.answered.Cold(now)}
+	for _, f := range parts {
+		s.trials.Over("", f)
+		s.addEnd(now, poison.End{Request: f, Incarnation: string(id), Cold: s.proven.Cold(now), Part: true, Trial: r.trial && len(parts) == 1})
+	}
+	if len(parts) > 0 {
+		s.signalChanged()
+	}
+}
+
+func (s *suspects) addEnd(now time.Time, e poison.End) {
 	if isNew, _ := s.own.Ended(now, e); !isNew {
 		return
 	}
@@ -109,13 +136,75 @@
 	s.signalReport()
 }
 
+// signalChanged wakes requests that wait for the clearing of a part. The caller holds mu.
+func (s *suspects) signalChanged() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // recordUnresolved records a run that broke off or stayed silent, at an endpoint that may have
 // ended.
-func (s *suspects) recordUnresolved(now time.Time, f poison.Fingerprint, id fleet.EndpointID) {
+func (s *suspects) recordUnresolved(now time.Time, r brokenRun, id fleet.EndpointID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.unresolved[id]) < maxUnresolved {
-		s.unresolved[id] = append(s.unresolved[id], unresolvedRun{f, now})
+		s.unresolved[id] = append(s.unresolved[id], unresolvedRun{r, now})
+	}
+}
+
+// suspectParts returns those of some parts that are suspect, and a channel that closes when that may
+// have changed.
+func (s *suspects) suspectParts(now time.Time, parts []poison.Fingerprint) ([]poison.Fingerprint, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []poison.Fingerprint
+	for _, f := range parts {
+		if s.fromLeader[f].ends > 0 || s.own.Standing(now, f).Ends > 0 {
+			out = append(out, f)
+		}
+	}
+	return out, s.changed
+}
+
+// takeTrial hands out a trial while no leader does: for parts of which this entry knows at most
+// one end.
+func (s *suspects) takeTrial(now time.Time, parts []poison.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range parts {
+		if s.fromLeader[f].ends > 1 || s.own.Standing(now, f).Ends > 1 {
+			return false
+		}
+	}
+	return s.trials.Take(now, "", parts)
+}
+
+// endTrials ends trials that this entry handed out.
+func (s *suspects) endTrials(parts []poison.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range parts {
+		s.trials.Over("", f)
+	}
+	s.signalChanged()
+}
+
+// recordProven records that an endpoint began to write an answer on parts of a prompt, and lived on.
+func (s *suspects) recordProven(now time.Time, parts []poison.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := false
+	for _, f := range parts {
+		s.proven.Answered(now, f)
+		_, listed := s.fromLeader[f]
+		if s.own.Clear(f) || listed {
+			s.trials.Cleared(f)
+			s.reportCleared(f)
+			changed = true
+		}
+	}
+	if changed {
+		s.signalChanged()
 	}
 }
 
@@ -126,7 +215,7 @@
 	defer s.mu.Unlock()
 	for _, r := range s.unresolved[id] {
 		if !planned && now.Sub(r.at) <= unresolvedTTL {
-			s.recordEndLocked(now, r.request, id)
+			s.recordEndLocked(now, r.run, id)
 		}
 	}
 	delete(s.unresolved, id)
@@ -165,7 +254,7 @@
 	defer s.mu.Unlock()
 	if string(s.key) != string(n.Key) {
 		// Fingerprints made with another key cannot occur again.
-		s.key, s.own, s.answered = n.Key, poison.NewBook(), poison.NewRecent(now)
+		s.key, s.own, s.answered, s.proven = n.Key, poison.NewBook(), poison.NewRecent(now), poison.NewRecentParts(now)
 		s.unresolved, s.ends, s.cleared = map[fleet.EndpointID][]unresolvedRun{}, nil, nil
 	}
 	if n.Mark.Term != s.mark.Term {
@@ -173,15 +262,16 @@
 		s.signalReport()
 	}
 	s.mark = n.Mark
+	defer s.signalChanged()
 	s.fromLeader = make(map[poison.Fingerprint]leaderCase, len(n.Told))
 	for _, t := range n.Told {
 		switch {
 		case t.Ends == 0:
 			s.own.Clear(t.Request)
-		case s.answered.Has(now, t.Request):
+		case s.answered.Has(now, t.Request), t.Part && s.proven.Has(now, t.Request):
 			s.reportCleared(t.Request)
 		default:
-			c := leaderCase{ends: t.Ends}
+			c := leaderCase{ends: t.Ends, part: t.Part}
 			if t.Left > 0 {
 				c.until = now.Add(t.Left)
 			}
@@ -206,7 +296,7 @@
 		ends = nil
 		for _, c := range s.own.Cases() {
 			for _, start := range c.Incarnations {
-				ends = append(ends, poison.End{Request: c.Request, Incarnation: start, Cold: s.answered.Cold(now)})
+				ends = append(ends, poison.End{Request: c.Request, Incarnation: start, Cold: s.answered.Cold(now), Part: c.Part, Trial: slices.Contains(c.Trials, start)})
 			}
 		}
 	}
@@ -219,6 +309,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.own.Sweep(now)
+	s.trials.Sweep(now)
 	for id, runs := range s.unresolved {
 		if now.Sub(runs[len(runs)-1].at) > unresolvedTTL {
 			delete(s.unresolved, id)
@@ -226,12 +317,15 @@
 	}
 }
 
-// count returns how many requests are suspect, and how many quarantined, according to the
-// leader.
-func (s *suspects) count(now time.Time) (suspect, quarantined int) {
+// count returns how many requests, or parts of prompts, are suspect, and how many quarantined,
+// according to the leader.
+func (s *suspects) count(now time.Time, parts bool) (suspect, quarantined int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.fromLeader {
+		if c.part != parts {
+			continue
+		}
 		if now.Before(c.until) {
 			quarantined++
 		} else {
--- a/internal/app/gateway/suspects_test.go
+++ b/internal/app/gateway/suspects_test.go
@@ -83,13 +83,13 @@
 	is := is.New(t)
 	s, f := newSuspects(), fingerprintOf("POST", "/once/x", "body")
 	now := time.Now()
-	s.recordUnresolved(now, f, "e0")
+	s.recordUnresolved(now, brokenRun{request: f}, "e0")
 	is.Equal(s.standing(now, f).Ends, 0)
 	s.endpointRemoved(now.Add(2*time.Second), "e0", false)
 	is.Equal(s.standing(now, f).Ends, 1)
-	s.recordUnresolved(now, f, "e1")
+	s.recordUnresolved(now, brokenRun{request: f}, "e1")
 	s.endpointRemoved(now.Add(unresolvedTTL+time.Second), "e1", false)
-	s.recordUnresolved(now, f, "e2")
+	s.recordUnresolved(now, brokenRun{request: f}, "e2")
 	s.endpointRemoved(now, "e2", true) // it left as planned
 	is.Equal(s.standing(now, f).Ends, 1)
 }
@@ -103,7 +103,7 @@
 	now := time.Now()
 	s.recordAnswer(now, f)
 	for _, e := range []fleet.EndpointID{"e0", "e1", "e2"} {
-		s.recordEnd(now, f, e)
+		s.recordEnd(now, brokenRun{request: f}, e)
 	}
 	is.Equal(s.standing(now, f), poison.Standing{})
 	// Another entry, at which none was answered, made the leader quarantine it: this one reports
@@ -122,7 +122,7 @@
 	now := time.Now()
 	news := wire.Suspects{Mark: wire.SuspectMark{Term: 1, Rev: 1}}
 	s.merge(now, news)
-	s.recordEnd(now, f, "e0")
+	s.recordEnd(now, brokenRun{request: f}, "e0")
 	ends, _ := s.report(now, false)
 	is.Equal(len(ends), 1)
 	ends, _ = s.report(now, false)
--- a/internal/core/poison/book.go
+++ b/internal/core/poison/book.go
@@ -11,6 +11,12 @@
 	// before it is quarantined. Two happen to harmless requests: a request under a first end is
 	// sent again, and runs beside the harmful one again if few endpoints hold their model.
 	EndsToQuarantine = 3
+	// EndsUnderTrial is the same for a part, if one of them was the end of a trial of that part.
+	EndsUnderTrial = 2
+	// ObjectionTime is the time after the first end for which a part is not quarantined for ends
+	// that were no trials. What one entry observes reaches all within less, and an entry at which the
+	// part was answered clears it.
+	ObjectionTime = 500 * time.Millisecond
 	// CaseRetention is how long ends count: a harmful request may be sent again after minutes.
 	CaseRetention = 10 * time.Minute
 	// QuarantineDuration is how long a quarantined request is refused before it is run once more:
@@ -35,6 +41,11 @@
 	// quarantined: all processes are killed, and just after their restart three endpoints fail
 	// together; look-ups ran on each, no entry remembers an answer, and all of them are refused.
 	Cold bool `json:"cold,omitempty"`
+	// Part is set if Request identifies a part of prompts.
+	Part bool `json:"part,omitempty"`
+	// Trial is set if the endpoint ended under a trial of this part, and no other part of that
+	// request was suspect.
+	Trial bool `json:"trial,omitempty"`
 }
 
 // Case is the evidence against one request.
@@ -44,6 +55,10 @@
 	Incarnations []string `json:"starts,omitempty"`
 	// Concurrent are incarnations that ended together with one of Incarnations and do not count.
 	Concurrent []string `json:"beside,omitempty"`
+	Part       bool     `json:"part,omitempty"` // Request identifies a part of prompts
+	// Trials are those of Incarnations that ended under a trial, with no other part suspect there.
+	Trials []string  `json:"trials,omitempty"`
+	First  time.Time `json:"first,omitzero"` // time of the oldest end
 	// Quarantined is the start of the quarantine; zero if there is none.
 	Quarantined time.Time `json:"quarantined,omitzero"`
 	At          time.Time `json:"at,omitzero"` // time of the newest end
@@ -69,25 +84,61 @@
 	c, known := b.cases[e.Request]
 	if !known {
 		b.evict()
-		c = &Case{Request: e.Request}
+		c = &Case{Request: e.Request, Part: e.Part}
 		b.cases[e.Request] = c
 	}
 	b.expire(now, c)
 	if slices.Contains(c.Incarnations, e.Incarnation) || slices.Contains(c.Concurrent, e.Incarnation) {
 		return false, false
 	}
-	if e.Cold && len(c.Incarnations) > 0 && now.Sub(c.At) < concurrentWithin {
+	if e.Cold && !e.Trial && len(c.Incarnations) > 0 && now.Sub(c.At) < concurrentWithin {
 		c.Concurrent = append(c.Concurrent[max(0, len(c.Concurrent)-maxConcurrent+1):], e.Incarnation)
 		return true, false
 	}
+	if len(c.Incarnations) == 0 {
+		c.First = now
+	}
 	c.Incarnations, c.At = append(c.Incarnations, e.Incarnation), now
-	if len(c.Incarnations) < EndsToQuarantine || !c.Quarantined.IsZero() {
+	if e.Part && !b.sharesEnd(now, e) && e.Trial {
+		c.Trials = append(c.Trials, e.Incarnation)
+	}
+	if !c.guilty(now) || !c.Quarantined.IsZero() {
 		return true, false
 	}
 	c.Quarantined = now
 	return true, true
 }
 
+// guilty reports whether the evidence is enough for a quarantine.
+func (c *Case) guilty(now time.Time) bool {
+	if !c.Part {
+		return len(c.Incarnations) >= EndsToQuarantine
+	}
+	return len(c.Trials) > 0 && len(c.Incarnations) >= EndsUnderTrial ||
+		len(c.Incarnations) >= EndsToQuarantine && now.Sub(c.First) >= ObjectionTime
+}
+
+// sharesEnd reports whether another part is suspect of the same end. The end then proves nothing
+// against either alone: what it proved against the other is taken back.
+func (b *Book) sharesEnd(now time.Time, e End) bool {
+	shared := false
+	for f, c := range b.cases {
+		if f == e.Request || !c.Part || !slices.Contains(c.Incarnations, e.Incarnation) {
+			continue
+		}
+		shared = true
+		at := slices.Index(c.Trials, e.Incarnation)
+		if at < 0 {
+			continue
+		}
+		c.Trials = slices.Delete(slices.Clone(c.Trials), at, at+1)
+		if !c.guilty(now) {
+			c.Quarantined = time.Time{}
+		}
+	}
+	return shared
+}
+
 // Clear removes the case of a request that was answered completely or cleared by an operator.
 // It reports whether there was a case.
 func (b *Book) Clear(f Fingerprint) bool {
@@ -112,7 +163,8 @@
 			continue
 		}
 		c.Incarnations = slices.Delete(slices.Clone(c.Incarnations), at, at+1)
-		if len(c.Incarnations) < EndsToQuarantine {
+		c.Trials = slices.DeleteFunc(slices.Clone(c.Trials), func(t string) bool { return t == incarnation })
+		if len(c.Incarnations) < EndsToQuarantine && len(c.Trials) == 0 {
 			c.Quarantined = time.Time{}
 		}
 		if len(c.Incarnations) == 0 {
@@ -153,9 +205,9 @@
 func (b *Book) expire(now time.Time, c *Case) {
 	switch {
 	case c.Quarantined.IsZero() && now.Sub(c.At) > CaseRetention:
-		c.Incarnations, c.Concurrent = nil, nil
+		c.Incarnations, c.Concurrent, c.Trials = nil, nil, nil
 	case !c.Quarantined.IsZero() && now.Sub(c.Quarantined) >= b.quarantine:
-		c.Quarantined, c.At = time.Time{}, now
+		c.Quarantined, c.At, c.Trials = time.Time{}, now, nil
 		c.Incarnations = slices.Clone(c.Incarnations[max(0, len(c.Incarnations)-EndsToQuarantine+1):])
 	}
 }
@@ -177,6 +229,12 @@
 	return expired
 }
 
+// IsPart reports whether there is a case of f, and f identifies a part of prompts.
+func (b *Book) IsPart(f Fingerprint) bool {
+	c, known := b.cases[f]
+	return known && c.Part
+}
+
 // IncarnationsOf returns the incarnations that ended under a request.
 func (b *Book) IncarnationsOf(f Fingerprint) []string {
 	if c, known := b.cases[f]; known {
--- a/internal/core/poison/leaderbook.go
+++ b/internal/core/poison/leaderbook.go
@@ -10,6 +10,9 @@
 	// some hundred entries. The most severe cases come first; of the others an entry knows what
 	// it observed itself.
 	maxPublished = 64
+	// maxPublishedParts is the same for parts of prompts: while an entry does not know that a part is
+	// suspect, it runs requests with it.
+	maxPublishedParts = 256
 	// clearedRetention is how long it is published to entries that a request was cleared, so that
 	// they discard what they observed themselves.
 	clearedRetention = 10 * time.Second
@@ -19,6 +22,7 @@
 type Update struct {
 	Request Fingerprint   `json:"request"`
 	Ends    int           `json:"ends"`           // incarnations that ended under it; 0 if it was cleared
+	Part    bool          `json:"part,omitempty"` // Request identifies a part of prompts
 	Left    time.Duration `json:"left,omitempty"` // remaining time of its quarantine; 0 if there is none
 }
 
@@ -71,14 +75,18 @@
 // of the other cases, and the requests cleared within clearedRetention.
 func (d *LeaderBook) Updates(now time.Time) []Update {
 	var out []Update
-	others := 0
+	others, parts := 0, 0
 	for _, c := range d.Cases() {
 		s := d.Standing(now, c.Request)
-		if !s.Quarantined {
+		switch {
+		case s.Quarantined:
+		case c.Part:
+			parts++
+		default:
 			others++
 		}
-		if s.Quarantined || others <= maxPublished {
-			out = append(out, Update{Request: c.Request, Ends: s.Ends, Left: s.Left})
+		if s.Quarantined || c.Part && parts <= maxPublishedParts || !c.Part && others <= maxPublished {
+			out = append(out, Update{Request: c.Request, Ends: s.Ends, Part: c.Part, Left: s.Left})
 		}
 	}
 	others = 0
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -38,6 +38,7 @@
 	MethodPull       = "pull"       // PullParams -> PullResult; the leader holds the call until something changes
 	MethodTell       = "tell"       // TellParams -> no result; waiting and running requests at an entry
 	MethodPermits    = "permits"    // PermitParams -> PermitResult; demand for endpoints with a limit, and permits for them
+	MethodTrial      = "trial"      // TrialParams -> TrialResult; a run of a request with suspect parts
 	MethodAllowance  = "allowance"  // AllowanceParams -> AllowanceResult; customers' use at an entry, and their shares of allowances there
 	MethodCommit     = "commit"     // command on behalf of a subscriber -> state.Result
 )
@@ -306,6 +307,20 @@
 	Told []poison.Update `json:"told,omitempty"` // complete: other requests are not suspect
 }
 
+// TrialParams asks the leader for a trial of suspect parts of prompts, which one request has, and
+// reports trials that ended without a result.
+type TrialParams struct {
+	Host ident.HostID         `json:"host"`
+	Take []poison.Fingerprint `json:"take,omitempty"`
+	Over []poison.Fingerprint `json:"over,omitempty"`
+}
+
+// TrialResult answers TrialParams.
+type TrialResult struct {
+	Leading bool `json:"leading"` // false: this host decides nothing
+	Granted bool `json:"granted"` // the request may run now
+}
+
 // PullResult answers PullParams with the changes. Absent parts are unchanged.
 type PullResult struct {
 	Leading    bool               `json:"leading"`          // false: ask Leader
