gateway, controller, core/release: a stream goes on only at the software release that began it

Nothing read the list's version; a broken stream was resumed anywhere, and a caller's next try went to any server.

The list's version is the release of an incarnation (a value that is no short string is unknown and does not make the entry unusable). Within an answer a stream is resumed at the release of its first event; where none serves, the caller sees the cut at once. A request that takes a stream up (Resumes, Last-Event-Id) is bound to the release that began it: known at this entry, or at the leader, whom entries tell of begun streams within some 10 ms while a service has several releases (a new leader hears all again); or because one release alone served for as long as a stream can last, by the entry's and the leader's history, which the log outlives. Else it is refused as not run with a time. An entry without leader infers that from its own history alone, if that is long enough and its list is fresh.

Weighed: a directory by rendezvous hash over control hosts with two owners a key (survives the leader, costs a write to two hosts for each stream and a membership that all agree on); a question to all entries (no writes, but the entry that knows is the one that was just killed). The leader's directory costs one notice of some 50 bytes for each resumable stream while two releases serve, and nothing else.

--- a/internal/app/control/deployment.go
+++ b/internal/app/control/deployment.go
@@ -7,6 +7,7 @@
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
 	"github.com/cassiapass/cassiapass/internal/core/holder"
+	"github.com/cassiapass/cassiapass/internal/core/release"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/wire"
 )
@@ -174,6 +175,19 @@
 	return err
 }
 
+// Releases returns which releases of endpoints have served lately, as this host has applied it.
+func (c *Control) Releases() release.Served {
+	var r release.Served
+	_ = c.loop.do(func() { r = c.loop.st.Releases() })
+	return r
+}
+
+// CommitReleases records in the log which releases serve. It fails on a host that does not lead.
+func (c *Control) CommitReleases(ctx context.Context, r release.Served) error {
+	_, err := c.proposeHere(ctx, state.Command{By: "control", Releases: &r})
+	return err
+}
+
 // notifyDeployment calls onDeploy if the deployment has changed. It runs in the
 // loop.
 func (l *loop) notifyDeployment() {
--- a/internal/app/controller/calls.go
+++ b/internal/app/controller/calls.go
@@ -47,6 +47,12 @@
 			return nil, err
 		}
 		return c.limits.report(time.Now(), p), nil
+	case wire.MethodStreams:
+		var p wire.StreamParams
+		if err := json.Unmarshal(raw, &p); err != nil {
+			return nil, err
+		}
+		return c.streams.report(time.Now(), p), nil
 	case wire.MethodTrial:
 		var p wire.TrialParams
 		if err := json.Unmarshal(raw, &p); err != nil {
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -16,6 +16,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/notice"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
+	"github.com/cassiapass/cassiapass/internal/core/release"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/port"
 )
@@ -93,20 +94,25 @@
 	Poison() poison.Registry
 	// CommitPoison commits a change to them; it fails on a host that does not lead.
 	CommitPoison(ctx context.Context, n poison.Change) error
+	// Releases returns the releases that served, as this host has applied the log, and
+	// CommitReleases commits newer ones; it fails on a host that does not lead.
+	Releases() release.Served
+	CommitReleases(ctx context.Context, r release.Served) error
 }
 
 // Controller plans and publishes for one control host while that host leads.
 type Controller struct {
-	cfg    Config
-	host   Leadership
-	events chan func(now time.Time)
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   chan struct{}
-	pub    *publisher
-	allow  allowances
-	limits endpointLimits
-	met    *metrics
+	cfg     Config
+	host    Leadership
+	events  chan func(now time.Time)
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    chan struct{}
+	pub     *publisher
+	allow   allowances
+	limits  endpointLimits
+	streams streamOrigins
+	met     *metrics
 
 	// Owned by the loop.
 	term           uint64 // 0 while not leading
@@ -230,6 +236,7 @@
 		c.pub.stopLeading()
 		c.allow.stopLeading()
 		c.limits.stopLeading()
+		c.streams.stopLeading()
 	case l.Leading && l.Term != c.term:
 		c.beginTerm(now, l.Term)
 	}
@@ -249,6 +256,7 @@
 	c.pub.startLeading(term)
 	c.allow.startLeading()
 	c.limits.startLeading(now, term)
+	c.streams.startLeading(now, c.host.Releases())
 	// A starting entry gets these with its first answer, before it accepts a request.
 	c.publishSuspects(now)
 }
@@ -332,6 +340,8 @@
 			c.listOK = true
 			c.recordUnreadable(l)
 			c.planner.List(now, asked, l.Endpoints)
+			c.streams.listed(now, l.Endpoints)
+			c.commitReleases(now)
 			c.pub.setListAge(asked, typicalListAge(l.Calls, took))
 		})
 	}()
--- a/internal/app/controller/controller_test.go
+++ b/internal/app/controller/controller_test.go
@@ -23,12 +23,14 @@
 	"github.com/cassiapass/cassiapass/internal/core/holder"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
+	"github.com/cassiapass/cassiapass/internal/core/release"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/wire"
 )
 
 // testHost is a control host whose leadership is set by the test.
 type testHost struct {
+	releases  release.Served
 	mu        sync.Mutex
 	lead      control.LeaderStatus
 	confirmed bool
@@ -73,6 +75,17 @@
 	return nil
 }
 
+func (l *testHost) Releases() release.Served {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.releases
+}
+
+func (l *testHost) CommitReleases(_ context.Context, r release.Served) error {
+	l.set(func() { l.releases = r })
+	return nil
+}
+
 func (l *testHost) Poison() poison.Registry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/app/gateway/acquire.go
+++ b/internal/app/gateway/acquire.go
@@ -7,6 +7,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/core/allowance"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
+	"github.com/cassiapass/cassiapass/internal/core/release"
 )
 
 const (
@@ -31,21 +32,34 @@
 	onlyPauses bool
 }
 
+// query is what a request asks of the directory.
+type query struct {
+	service string
+	want    fleet.Want
+	tried   map[fleet.EndpointID]bool // endpoints that it was sent to
+	waiter  *allowance.Waiter
+	mayWait bool // briefly, for a permit of the endpoint that is chosen
+	apart   bool // it goes where the fewest others run
+	bound   bool // to endpoints of a release
+	release release.Name
+}
+
 // acquire picks an endpoint for a request and counts the request there. If there is none, it
 // returns why. A request for which a limited endpoint is chosen may wait briefly for a permit
 // there if mayWait is set, although another endpoint could take it: a limited endpoint gets
-// its part of the requests. A request that runs apart goes where the fewest others run.
-func (d *directory) acquire(now time.Time, service string, want fleet.Want, tried map[fleet.EndpointID]bool, w *allowance.Waiter, mayWait, apart bool) (*endpoint, shortage) {
+// its part of the requests.
+func (d *directory) acquire(now time.Time, q query) (*endpoint, shortage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	eps, s := d.candidates(now, service, want, tried, w)
+	w := q.waiter
+	eps, s := d.candidates(now, q)
 	if !slices.ContainsFunc(eps, func(e *endpoint) bool { return string(e.ID) == w.Endpoint() }) {
 		d.limits.Done(w) // the endpoint at which it waited takes none now
 	}
 	var limited []*endpoint
 	for first := true; len(eps) > 0; first = false {
 		i := d.choose(now, eps)
-		if apart {
+		if q.apart {
 			i = leastLoaded(eps)
 		}
 		if j := slices.IndexFunc(eps, func(e *endpoint) bool { return string(e.ID) == w.Endpoint() }); first && j >= 0 {
@@ -57,12 +71,12 @@
 			break
 		}
 		if d.limits.Take(now, id, w) {
-			d.countSend(e, want)
+			d.countSend(e, q.want)
 			d.signalPermits(now)
 			delete(d.waiters, w)
 			return e, shortage{}
 		}
-		if mayWait && d.limits.MayAsk(now, id) && slices.ContainsFunc(eps, d.unlimited) {
+		if q.mayWait && d.limits.MayAsk(now, id) && slices.ContainsFunc(eps, d.unlimited) {
 			d.limits.Wait(id, w, true)
 			d.signalPermits(now)
 			s.brief, s.limit = true, d.limitState(now, e.ID, w)
@@ -78,7 +92,7 @@
 		d.signalPermits(now)
 	}
 	if s.pause.endpoint != "" {
-		d.waiters[w] = waitingFor{service, want}
+		d.waiters[w] = waitingFor{q.service, q.want}
 		d.wakeAt(now, s.pause.until)
 	}
 	return nil, s
@@ -86,20 +100,24 @@
 
 // candidates returns the endpoints that could take a request now, limits aside, and why not if
 // there are none.
-func (d *directory) candidates(now time.Time, service string, want fleet.Want, tried map[fleet.EndpointID]bool, w *allowance.Waiter) ([]*endpoint, shortage) {
+func (d *directory) candidates(now time.Time, q query) ([]*endpoint, shortage) {
 	s := shortage{reason: reasonNoEndpoint, changed: d.changed}
+	if q.bound && !d.serves(q.service, q.release) {
+		s.reason = reasonReleaseGone
+		return nil, s
+	}
 	var eps []*endpoint
 	full := false
 	for _, e := range d.byID {
-		if e.Service != service || d.leaves(e) {
+		if e.Service != q.service || d.leaves(e) || q.bound && e.Release != q.release {
 			continue
 		}
-		r := e.unavailableReason(now, want)
+		r := e.unavailableReason(now, q.want)
 		full = full || r == reasonAllFull
-		if r == "" && tried[e.ID] {
+		if r == "" && q.tried[e.ID] {
 			r = reasonAllTried
 		}
-		if r == "" && d.paused(now, e, w, &s.pause) {
+		if r == "" && d.paused(now, e, q.waiter, &s.pause) {
 			r = reasonPaused
 		}
 		if r != "" {
@@ -112,6 +130,22 @@
 	return eps, s
 }
 
+// serves reports whether an endpoint of a release serves. Endpoints that do not tell theirs are taken
+// for one release where none does. The caller holds mu.
+func (d *directory) serves(service string, name release.Name) bool {
+	found := false
+	for _, e := range d.byID {
+		if e.Service != service || e.removed {
+			continue
+		}
+		if name == "" && e.Release != "" {
+			return false
+		}
+		found = found || e.Release == name && !d.leaves(e)
+	}
+	return found
+}
+
 // choose returns the index of the endpoint to try first. One that has asked other entries for a
 // pause is tried after the others.
 func (d *directory) choose(now time.Time, eps []*endpoint) int {
--- a/internal/app/gateway/dialect.go
+++ b/internal/app/gateway/dialect.go
@@ -27,6 +27,7 @@
 	TimeLeft  time.Duration // how long the caller waits; 0 if not given
 	Want      fleet.Want    // model and adapter; zero for a plain service
 	LastEvent string        // the caller resumes a stream after this event
+	Resumes   string        // the request that brought the first event of a stream that the caller takes up again
 	MaxOutput int           // maximum of output tokens; 0 if not given
 	Tokens    int           // of the prompt and the maximum output together
 	HasTokens bool          // Tokens is given
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -11,6 +11,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/notice"
+	"github.com/cassiapass/cassiapass/internal/core/release"
 )
 
 const (
@@ -37,9 +38,10 @@
 	rev              uint64
 	asOf             time.Time // the platform's list is not older than this
 	byID             map[fleet.EndpointID]*endpoint
-	modelIdle        chan struct{}                          // signalled when the last request here for a model with one holder has ended
-	etas             map[string]time.Time                   // for a model that no endpoint holds, the earliest time at which one will
-	onRemoved        func(e fleet.EndpointID, planned bool) // called for each removed incarnation; may be nil
+	modelIdle        chan struct{}                                           // signalled when the last request here for a model with one holder has ended
+	etas             map[string]time.Time                                    // for a model that no endpoint holds, the earliest time at which one will
+	onRemoved        func(e fleet.EndpointID, planned bool)                  // called for each removed incarnation; may be nil
+	onListed         func(now time.Time, eps map[fleet.EndpointID]*endpoint) // called with the endpoints known; may be nil
 	limits           *allowance.PermitClient
 	notices          *notice.Book
 	waiters          map[*allowance.Waiter]waitingFor // requests that wait for the end of a pause
@@ -67,6 +69,7 @@
 	defer d.mu.Unlock()
 	d.term, d.rev = term, rev
 	d.merge(eps, true)
+	d.listed()
 	d.wakeLocked()
 }
 
@@ -83,9 +86,38 @@
 			d.remove(e)
 		}
 	}
+	d.listed()
 	d.wakeLocked()
 }
 
+// recordReleases passes on which endpoints are known: their releases are remembered for a time after
+// they were known last.
+func (d *directory) recordReleases() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed()
+}
+
+func (d *directory) releaseOf(e *endpoint) release.Name {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return e.Release
+}
+
+// leaderTerm returns the term of the leader that reported the endpoints.
+func (d *directory) leaderTerm() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.term
+}
+
+// listed passes on which endpoints are known. The caller holds mu.
+func (d *directory) listed() {
+	if d.onListed != nil {
+		d.onListed(time.Now(), d.byID)
+	}
+}
+
 // merge applies a complete list of endpoints. Those that are not listed are removed.
 func (d *directory) merge(eps []fleet.Endpoint, models bool) {
 	listed := make(map[fleet.EndpointID]bool, len(eps))
@@ -125,6 +157,9 @@
 	if ep.Leaving && !e.Leaving {
 		d.logEvent(ep, "endpoint_leaving")
 	}
+	if e.Release == "" {
+		e.Release = ep.Release // an earlier release of the leader does not tell it
+	}
 	if !models {
 		e.Leaving = ep.Leaving
 		return
@@ -171,6 +206,7 @@
 	defer d.mu.Unlock()
 	d.asOf = asOf
 	d.merge(eps, false)
+	d.listed()
 	d.wakeLocked()
 }
 
--- a/internal/app/gateway/endpoint.go
+++ b/internal/app/gateway/endpoint.go
@@ -50,6 +50,8 @@
 	reasonLoadedLate       refusalReason = "loaded_late"      // none holds the model, and none will within the time that the request may wait
 	reasonQuarantined      refusalReason = "quarantined"      // endpoints ended while they ran it
 	reasonSuspect          refusalReason = "suspect"          // endpoints ended under a part of its prompt; another request tries that part
+	reasonReleaseUnknown   refusalReason = "release_unknown"  // which release began the stream that it takes up is not known
+	reasonReleaseGone      refusalReason = "release_gone"     // no endpoint of the release that began its stream serves
 	reasonStopping         refusalReason = "stopping"         // this entry stops before an answer could be complete
 	reasonOverAllowance    refusalReason = "over_allowance"   // its customer's allowance is used up
 	reasonAllowanceUnknown refusalReason = "allowance_unsure" // the leader does not report what its customer may use
--- a/internal/app/gateway/endpointlimits_test.go
+++ b/internal/app/gateway/endpointlimits_test.go
@@ -41,7 +41,7 @@
 		is := is.New(t)
 		g := limitedGateway(t, tc.next)
 		g.setFailing("e0", tc.failing)
-		e, short := g.dir.acquire(time.Now(), "s", fleet.Want{}, nil, &allowance.Waiter{Since: time.Now()}, false, false)
+		e, short := g.dir.acquire(time.Now(), query{service: "s", waiter: &allowance.Waiter{Since: time.Now()}})
 		is.Equal(e == nil, tc.waits)
 		if tc.waits {
 			is.Equal(short.reason, reasonAtLimit)
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/limit"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
+	"github.com/cassiapass/cassiapass/internal/core/release"
 )
 
 // errCallerGone is the cancellation cause when the caller closed its connection.
@@ -64,6 +65,9 @@
 	quarantined     poison.Fingerprint   // fp or the part for which it is refused
 	firstByte       time.Duration        // time until the first byte of the answer
 	eventsSent      int                  // stream events forwarded
+	answering       *endpoint            // whose stream is forwarded
+	bound           bool                 // only endpoints of release may go on with the stream
+	release         release.Name         // that sent the first event
 	parts           []poison.Fingerprint // of its prompt, that other requests may share
 	trial           []poison.Fingerprint // suspect parts of which this run is a trial
 	trialUntil      time.Time
@@ -153,6 +157,9 @@
 // run sends the request until it is answered or no answer is possible.
 func (x *exchange) run(ctx context.Context) requestOutcome {
 	defer x.endTrial()
+	if x.takesUp() && !x.findRelease(ctx) {
+		return notRun
+	}
 	for {
 		if !x.clearParts(ctx) {
 			return x.outcomeSoFar()
@@ -279,7 +286,8 @@
 			x.reason = reasonKeyRevoked
 			return nil
 		}
-		e, short := x.g.dir.acquire(time.Now(), x.service, x.info.Want, x.tried, w, time.Since(begin) < briefWait, len(x.trial) > 0)
+		e, short := x.g.dir.acquire(time.Now(), query{service: x.service, want: x.info.Want, tried: x.tried, waiter: w, mayWait: time.Since(begin) < briefWait,
+			apart: len(x.trial) > 0, bound: x.bound, release: x.release})
 		if e != nil {
 			return e
 		}
@@ -289,6 +297,9 @@
 		}
 		reason := short.reason
 		x.reason, x.limit, x.pause = reason, short.limit, short.pause
+		if reason == reasonReleaseGone {
+			return nil
+		}
 		if short.onlyLimits && x.limit.known && fleet.WaitsInVain(x.limit.expected, maxWait-time.Since(begin), waits) {
 			x.g.demands.recordDeferred(x.info.Want)
 			return nil
@@ -416,6 +427,8 @@
 		after = fleet.RetryAfterReady(min(x.soonest(fleet.ReplicaWait), maxRetryAfter), rand.Int64N)
 	case reasonQuarantined:
 		after = x.standing().Left
+	case reasonReleaseUnknown, reasonReleaseGone:
+		after = fleet.RetryAfter(rand.Int64N)
 	case reasonSuspect:
 		after = fleet.RetryAfterReady(poison.TrialTimeout, rand.Int64N)
 	case reasonOverAllowance, reasonAllowanceUnknown:
@@ -483,6 +496,9 @@
 	if x.reason == reasonQuarantined {
 		ev.Stringer("fingerprint", x.quarantined)
 	}
+	if x.bound {
+		ev.Str("release", string(x.release))
+	}
 	if x.reason == reasonSuspect {
 		ev.Strs("parts", x.partNames())
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -60,6 +60,7 @@
 	allowances       *allowances
 	endpointLimits   *endpointLimits
 	unknown          unknownFields
+	streams          *streams
 	metrics          *metrics
 	table            atomic.Pointer[deploy.Table]
 	startedAt        time.Time
@@ -104,12 +105,15 @@
 	g.dir.metrics, g.dir.onPermitsPending = g.metrics, g.endpointLimits.signalReport
 	g.sync = newSyncer(g)
 	g.allowances = newAllowances(g)
+	g.streams = newStreams(g)
+	g.dir.onListed = g.streams.listed
 	go g.accept()
 	go g.sync.pull(ctx)
 	go g.sync.report(ctx)
 	go g.sync.watchList(ctx)
 	go g.allowances.run(ctx)
 	go g.endpointLimits.run(ctx)
+	go g.streams.run(ctx)
 	go g.sweep()
 	return g, nil
 }
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -25,7 +25,7 @@
 type testDialect struct{}
 
 func (testDialect) ReadRequest(h http.Header) (RequestFields, error) {
-	a := RequestFields{ID: h.Get("Id"), LastEvent: h.Get("Last-Event-Id")}
+	a := RequestFields{ID: h.Get("Id"), LastEvent: h.Get("Last-Event-Id"), Resumes: h.Get("Resumes")}
 	if a.ID == "" {
 		return a, errors.New("Id is missing")
 	}
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -167,6 +167,11 @@
 	m.set.GetOrCreateCounter(`cassiapass_gateway_unframed_answers_total{verdict="` + v.String() + `"}`).Inc()
 }
 
+// countTakenUp counts a request that takes up a stream, by whether it is known which release began it.
+func (m *metrics) countTakenUp(found bool) {
+	m.set.GetOrCreateCounter(`cassiapass_gateway_streams_taken_up_total{release_known="` + strconv.FormatBool(found) + `"}`).Inc()
+}
+
 // countTrial counts a request that asked for a trial of its suspect parts.
 func (m *metrics) countTrial(granted bool, by trialSource) {
 	m.set.GetOrCreateCounter(`cassiapass_gateway_suspect_trials_total{granted="` + strconv.FormatBool(granted) + `",by="` + string(by) + `"}`).Inc()
--- a/internal/app/gateway/notices_test.go
+++ b/internal/app/gateway/notices_test.go
@@ -34,7 +34,7 @@
 
 // acquireAt acquires an endpoint for a request with a priority.
 func acquireAt(g *Gateway, now time.Time, w *allowance.Waiter) (*endpoint, shortage) {
-	return g.dir.acquire(now, "s", fleet.Want{}, nil, w, false, false)
+	return g.dir.acquire(now, query{service: "s", waiter: w})
 }
 
 // Guards against a pause that binds the choice of an endpoint only, and not the send after it.
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -22,6 +22,7 @@
 // whole events only: another endpoint continues with the next event, and a partial
 // event before it would corrupt the stream.
 func (x *exchange) forwardStream(e *endpoint, resp *http1.Response) (result, error) {
+	x.answering = e
 	if err := x.writeHead(resp, true); err != nil {
 		resp.Abort()
 		return result{outcome: abandoned, final: true}, nil
@@ -40,6 +41,7 @@
 // resumeStream continues, with this endpoint's answer, a stream that broke off at another
 // one. The caller already has the head of the first answer.
 func (x *exchange) resumeStream(e *endpoint, resp *http1.Response) (result, error) {
+	x.answering = e
 	if resp.Status != http.StatusOK {
 		return result{}, errors.New("the stream was not resumed: status " + strconv.Itoa(resp.Status))
 	}
@@ -78,6 +80,9 @@
 // countEvents counts events of the newest answer.
 func (x *exchange) countEvents(n int) {
 	x.eventsSent += n
+	if n > 0 {
+		x.bindRelease()
+	}
 	if n > 0 && x.firstEventAt.IsZero() {
 		x.firstEventAt = time.Now()
 	}
--- /dev/null
+++ b/internal/app/gateway/streams.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cassiapass/cassiapass/internal/core/deploy"
+	"github.com/cassiapass/cassiapass/internal/core/fleet"
+	"github.com/cassiapass/cassiapass/internal/core/release"
+	"github.com/cassiapass/cassiapass/internal/wire"
+)
+
+const (
+	// streamReportDelay is how long a report of begun streams waits to include further ones. Their
+	// callers come back at other entries once this one has ended.
+	streamReportDelay = 10 * time.Millisecond
+	// releaseRefresh is the interval at which the releases in service are recorded and, where there
+	// are several, reported.
+	releaseRefresh = time.Second
+	// findTimeout bounds the question to the leader which release began a stream.
+	findTimeout = 300 * time.Millisecond
+	// freshList is the age up to which the list shows all releases that can have begun a stream.
+	freshList = 1500 * time.Millisecond
+)
+
+// streams knows which releases began the streams that this entry passed on, and tells the leader while
+// a service has several.
+type streams struct {
+	g      *Gateway
+	signal chan struct{} // signalled when there is something to report
+
+	mu       sync.Mutex
+	origins  release.Origins
+	history  release.History
+	services map[string]bool     // to whether they have several releases
+	pending  []wire.StreamOrigin // not reported yet
+	resend   bool                // everything is due: several releases have begun to serve, or another leader leads
+	mark     uint64              // term of the leader that was told
+}
+
+func newStreams(g *Gateway) *streams {
+	return &streams{g: g, signal: make(chan struct{}, 1), services: map[string]bool{}}
+}
+
+// listed records the releases of the endpoints that are known.
+func (s *streams) listed(now time.Time, eps map[fleet.EndpointID]*endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := map[string][]release.Name{}
+	for _, e := range eps {
+		if !e.removed {
+			release.ByService(names, e.Service, e.Release)
+		}
+	}
+	for service, ns := range names {
+		s.history.Listed(now, service, ns...)
+		if _, known := s.services[service]; !known {
+			s.services[service] = false
+		}
+	}
+	s.findSeveral(now)
+}
+
+// findSeveral looks which services have several releases. The caller holds mu.
+func (s *streams) findSeveral(now time.Time) {
+	for service, was := range s.services {
+		several := len(s.history.Names(now, service)) > 1
+		s.services[service] = several
+		if several && !was {
+			s.resend = true
+			s.signalReport()
+		}
+	}
+}
+
+func (s *streams) signalReport() {
+	select {
+	case s.signal <- struct{}{}:
+	default: // a report is pending already
+	}
+}
+
+// began records that a release sent the first event of a stream.
+func (s *streams) began(now time.Time, id, service string, name release.Name) {
+	if key, named := s.g.suspects.fingerprint([]byte("stream"), []byte(id)); named {
+		s.remember(now, key, service, name)
+	}
+}
+
+func (s *streams) remember(now time.Time, key release.StreamID, service string, name release.Name) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.origins.Began(now, key, name)
+	if s.services[service] {
+		s.pending = append(s.pending, wire.StreamOrigin{Stream: key, Release: name})
+		s.signalReport()
+	}
+}
+
+// run reports to the leader until the gateway stops.
+func (s *streams) run(ctx context.Context) {
+	t := time.NewTicker(releaseRefresh)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.signal:
+			time.Sleep(streamReportDelay)
+		case <-t.C:
+			s.g.dir.recordReleases()
+		}
+		s.report()
+	}
+}
+
+// report reports to the leader what it may not know.
+func (s *streams) report() {
+	conn := s.g.sync.leader()
+	if conn == nil {
+		return
+	}
+	p := s.due(s.g.dir.leaderTerm())
+	if len(p.Began) == 0 && len(p.Served) == 0 {
+		return
+	}
+	if err := conn.Notify(wire.MethodStreams, p); err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.resend = true
+	}
+}
+
+// due returns what is to be reported to the leader of a term.
+func (s *streams) due(term uint64) wire.StreamParams {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	p := wire.StreamParams{Host: s.g.cfg.Host, Began: s.pending}
+	for service, several := range s.services {
+		if several {
+			if p.Served == nil {
+				p.Served = map[string][]release.Name{}
+			}
+			p.Served[service] = s.history.Names(now, service)
+		}
+	}
+	if p.Served != nil && (s.resend || s.mark != term) {
+		p.Began = nil
+		s.origins.All(func(id release.StreamID, n release.Name) {
+			p.Began = append(p.Began, wire.StreamOrigin{Stream: id, Release: n})
+		})
+	}
+	s.pending, s.resend, s.mark = nil, false, term
+	return p
+}
+
+// known returns what this entry knows: the release that began a stream, and those that have served
+// the service.
+func (s *streams) known(now time.Time, key release.StreamID, service string) (release.Name, bool, []release.Name) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, found := s.origins.Find(now, key)
+	return n, found, s.history.Names(now, service)
+}
+
+// follows reports whether this entry knows by itself which releases can have begun streams of a service.
+func (s *streams) follows(now time.Time, service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.Known(now, service)
+}
+
+// takesUp reports whether the request goes on with a stream that an earlier one began.
+func (x *exchange) takesUp() bool {
+	return x.route.Repeat == deploy.Stream && x.route.Resumable && (x.info.LastEvent != "" || x.info.Resumes != "")
+}
+
+// findRelease finds the release that began the stream that the request takes up, and binds the request
+// to it. It returns false, with the reason set, if that is not known.
+func (x *exchange) findRelease(ctx context.Context) bool {
+	key, named := x.g.suspects.fingerprint([]byte("stream"), []byte(x.info.Resumes))
+	now := time.Now()
+	name, found, served := x.g.streams.known(now, key, x.service)
+	source := "entry"
+	if !found || !named {
+		r, err := x.g.findStream(ctx, key, x.service)
+		switch {
+		case err == nil && r.Known && named:
+			name, found, source = r.Release, true, "leader"
+		case err == nil:
+			name, found = release.Only(served, r.Served)
+			source = "only release"
+		case x.g.dir.listAge() <= freshList && x.g.streams.follows(now, x.service):
+			name, found = release.Only(served)
+			source = "only release, no leader"
+		default:
+			found = false
+		}
+	}
+	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("resumes", shorten(x.info.Resumes)).Bool("found", found).Str("release", string(name)).Str("source", source).Int("releases", len(served)).Msg("stream_taken_up")
+	x.g.metrics.countTakenUp(found)
+	if !found {
+		x.reason = reasonReleaseUnknown
+		return false
+	}
+	x.bound, x.release = true, name
+	if named {
+		x.g.streams.remember(now, key, x.service, name)
+	}
+	return true
+}
+
+// maxLoggedID bounds an id that a caller chose, in logs.
+const maxLoggedID = 48
+
+func shorten(id string) string { return id[:min(len(id), maxLoggedID)] }
+
+func (g *Gateway) findStream(ctx context.Context, key release.StreamID, service string) (wire.StreamResult, error) {
+	var r wire.StreamResult
+	conn := g.sync.leader()
+	if conn == nil {
+		return r, errNoLeader
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	err := conn.Call(ctx, wire.MethodStreams, wire.StreamParams{Host: g.cfg.Host, Find: &key, Service: service}, &r)
+	if err == nil && !r.Leading {
+		err = errNoLeader
+	}
+	return r, err
+}
+
+// bindRelease binds the rest of a resumable stream to the release that sent its first event.
+func (x *exchange) bindRelease() {
+	if x.bound || !x.route.Resumable || x.answering == nil {
+		return
+	}
+	x.bound, x.release = true, x.g.dir.releaseOf(x.answering)
+	x.g.streams.began(time.Now(), x.info.ID, x.service, x.release)
+}
--- a/internal/app/gateway/syncer_test.go
+++ b/internal/app/gateway/syncer_test.go
@@ -150,7 +150,7 @@
 	medianDelay := func(model string) time.Duration {
 		var took []time.Duration
 		for range 9 {
-			e, _ := g.dir.acquire(time.Now(), "s", fleet.Want{Model: model}, nil, &allowance.Waiter{}, false, false)
+			e, _ := g.dir.acquire(time.Now(), query{service: "s", want: fleet.Want{Model: model}, waiter: &allowance.Waiter{}})
 			if e == nil {
 				t.Fatal("no endpoint was acquired")
 			}
--- a/internal/core/state/apply.go
+++ b/internal/core/state/apply.go
@@ -59,6 +59,9 @@
 	case c.Holder != nil:
 		s.holder = s.holder.Next(*c.Holder)
 		return Result{Code: OK}
+	case c.Releases != nil:
+		s.releases = *c.Releases
+		return Result{Code: OK}
 	case c.Poison != nil:
 		return s.applyPoison(c.By, *c.Poison)
 	}
--- a/internal/core/state/command.go
+++ b/internal/core/state/command.go
@@ -8,6 +8,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/keepalive"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/record"
+	"github.com/cassiapass/cassiapass/internal/core/release"
 )
 
 // Command is one command of the replicated log. Exactly one of the pointers is set.
@@ -26,6 +27,7 @@
 	History  *History         `json:"history,omitempty"`
 	Deploy   *Deploy          `json:"deploy,omitempty"`
 	Holder   *holder.Record   `json:"holder,omitempty"`
+	Releases *release.Served  `json:"releases,omitempty"`
 	Poison   *poison.Change   `json:"poison,omitempty"`
 }
 
--- a/internal/core/state/deployment.go
+++ b/internal/core/state/deployment.go
@@ -5,6 +5,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/core/holder"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/release"
 )
 
 // Deploy replaces the whole deployment under a version chosen by the operator.
@@ -51,6 +52,10 @@
 	}
 }
 
+// Releases returns which releases of endpoints have served lately, as the leader noted them. The caller
+// must not modify it.
+func (s *State) Releases() release.Served { return s.releases }
+
 // Holder returns the newest record of the host that holds the engines.
 func (s *State) Holder() holder.Record { return s.holder }
 
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -14,6 +14,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/keepalive"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/record"
+	"github.com/cassiapass/cassiapass/internal/core/release"
 )
 
 // State is the replicated state. It is not safe for concurrent use; a Clone is
@@ -40,6 +41,7 @@
 	history  *keepalive.History
 	deployed Deployment
 	holder   holder.Record
+	releases release.Served
 	poison   poison.Registry
 	suspects *poison.Book // requests under which endpoints ended, as reported by entries
 
@@ -178,6 +180,7 @@
 	History   *keepalive.History      `json:"history"`
 	Deployed  *Deployment             `json:"deployed,omitempty"`
 	Holder    holder.Record           `json:"holder,omitzero"`
+	Releases  release.Served          `json:"releases,omitempty"`
 	Poison    poison.Registry         `json:"poison,omitzero"`
 	Suspects  []poison.Case           `json:"suspects,omitempty"`
 }
@@ -185,7 +188,7 @@
 // Encode returns the state as JSON for Decode.
 func (s *State) Encode() ([]byte, error) {
 	im := image{Index: s.index, Config: s.config, Now: s.now, Records: s.Records(), Results: s.results,
-		Endpoints: s.Endpoints(), Replicas: s.Replicas(), Audit: s.audit, History: s.history, Holder: s.holder, Poison: s.poison, Suspects: s.suspects.Cases()}
+		Endpoints: s.Endpoints(), Replicas: s.Replicas(), Audit: s.audit, History: s.history, Holder: s.holder, Releases: s.releases, Poison: s.poison, Suspects: s.suspects.Cases()}
 	if s.deployed.Version != 0 {
 		im.Deployed = &s.deployed
 	}
@@ -207,6 +210,7 @@
 		return nil, oops.Wrapf(err, "decode state")
 	}
 	s.index, s.config, s.now, s.audit, s.holder, s.poison = im.Index, im.Config, im.Now, im.Audit, im.Holder, im.Poison
+	s.releases = im.Releases
 	for _, c := range im.Suspects {
 		s.suspects.Put(c)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -15,6 +15,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/placement"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/record"
+	"github.com/cassiapass/cassiapass/internal/core/release"
 	"github.com/cassiapass/cassiapass/internal/core/routing"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 )
@@ -39,6 +40,7 @@
 	MethodTell       = "tell"       // TellParams -> no result; waiting and running requests at an entry
 	MethodPermits    = "permits"    // PermitParams -> PermitResult; demand for endpoints with a limit, and permits for them
 	MethodTrial      = "trial"      // TrialParams -> TrialResult; a run of a request with suspect parts
+	MethodStreams    = "streams"    // StreamParams -> StreamResult; which release of endpoints began which stream
 	MethodAllowance  = "allowance"  // AllowanceParams -> AllowanceResult; customers' use at an entry, and their shares of allowances there
 	MethodCommit     = "commit"     // command on behalf of a subscriber -> state.Result
 )
@@ -321,6 +323,30 @@
 	Granted bool `json:"granted"` // the request may run now
 }
 
+// StreamOrigin says which release sent the first event of a stream.
+type StreamOrigin struct {
+	Stream  release.StreamID `json:"stream"`
+	Release release.Name     `json:"release"`
+}
+
+// StreamParams reports which releases began streams of an entry, and which have served the services
+// that have several; Find asks for one stream of Service.
+type StreamParams struct {
+	Host    ident.HostID              `json:"host"`
+	Began   []StreamOrigin            `json:"began,omitempty"`
+	Served  map[string][]release.Name `json:"served,omitempty"` // by service
+	Find    *release.StreamID         `json:"find,omitempty"`
+	Service string                    `json:"service,omitempty"`
+}
+
+// StreamResult answers StreamParams.
+type StreamResult struct {
+	Leading bool           `json:"leading"`
+	Known   bool           `json:"known"`             // Release began the stream
+	Release release.Name   `json:"release,omitempty"` // if Known
+	Served  []release.Name `json:"served,omitempty"`  // releases that have served Service within the life of a stream
+}
+
 // PullResult answers PullParams with the changes. Absent parts are unchanged.
 type PullResult struct {
 	Leading    bool               `json:"leading"`          // false: ask Leader
