core/fleet: a model is loaded at the release that a waiting stream needs

A request that goes on with a stream waits for an engine of one release. The planner saw the model held, by engines of another one, and loaded nothing: the stream was given up. Entries report the releases to which waiting requests are bound; the planner loads the model on an engine of such a release if none holds or loads it. Adapters are loaded by the next report of the request that waits.

--- a/internal/app/gateway/demand.go
+++ b/internal/app/gateway/demand.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -89,6 +90,9 @@
 		x.arrived, x.deferred = 0, 0
 		for ex, at := range x.since {
 			dm.Add(now.Sub(at), ex.deadline.Sub(now), ex.arrived.Add(ex.route.Objective).Sub(now))
+			if ex.bound && ex.release != "" && !slices.Contains(dm.Releases, ex.release) {
+				dm.Releases = append(dm.Releases, ex.release)
+			}
 		}
 		if len(x.since) == 0 {
 			delete(d.byWant, w)
--- a/internal/core/fleet/demand.go
+++ b/internal/core/fleet/demand.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cassiapass/cassiapass/internal/core/release"
 )
 
 // Demand is the demand for one model or adapter since the last report of an entry.
@@ -17,6 +19,9 @@
 	Earliest time.Duration `json:"earliest,omitempty"` // least time left of a waiting request
 	InTime   int           `json:"inTime,omitempty"`   // waiting requests that a load started now can still answer within their objective
 	Due      time.Duration `json:"due,omitempty"`      // least time until the objective of one of these has passed
+	// Releases are those to which waiting requests are bound: they go on with streams that these
+	// began, and engines of other releases cannot take them.
+	Releases []release.Name `json:"releases,omitempty"`
 }
 
 // coldStart is the time from the decision to load a request's model until its first answer:
@@ -47,10 +52,17 @@
 	oldest  time.Duration // longest wait so far
 	minLeft time.Duration // least time left
 	due     time.Duration // least time until an objective that can still be met
+	// releases are those to which waiting requests are bound.
+	releases []release.Name
 }
 
 func (s *demand) add(d Demand) {
 	s.waiting += d.Waiting
+	for _, n := range d.Releases {
+		if !slices.Contains(s.releases, n) {
+			s.releases = append(s.releases, n)
+		}
+	}
 	s.oldest = max(s.oldest, d.Oldest)
 	s.minLeft = min(s.minLeft, d.Earliest)
 	if d.InTime > 0 && (s.inTime == 0 || d.Due < s.due) {
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cassiapass/cassiapass/internal/core/release"
 )
 
 // Work is what the planner wants done: orders to issue and engines to query.
@@ -83,6 +85,11 @@
 // serve issues the order that is the next step towards an engine for a waiting request.
 func (p *Planner) serve(now time.Time, want Want, w *Work) {
 	base := Want{Model: want.Model}
+	if d := p.wants[want]; d != nil {
+		for _, name := range d.releases {
+			p.serveRelease(now, want.Model, name, w)
+		}
+	}
 	if len(p.survey.loading[want]) > 0 {
 		return
 	}
@@ -106,6 +113,34 @@
 	}
 }
 
+// serveRelease loads a model on an engine of a release for requests that only these can take, if none
+// holds or loads it.
+func (p *Planner) serveRelease(now time.Time, model string, name release.Name, w *Work) {
+	base := Want{Model: model}
+	for _, e := range p.survey.loading[base] {
+		if e.ep.Release == name {
+			return
+		}
+	}
+	for _, e := range p.survey.holding[model] {
+		if e.ep.Release == name && e.has(base) && e.usable(now) {
+			return
+		}
+	}
+	var best *placement
+	for _, e := range p.engines {
+		if e.ep.Release != name {
+			continue
+		}
+		if s, ok := p.placement(now, e, model, true); ok && s.cheaper(best) {
+			best = &s
+		}
+	}
+	if best != nil {
+		p.issuePlacement(now, model, *best, w)
+	}
+}
+
 // crowded reports whether the share of an engine's slots in use has reached the threshold, or
 // what is asked for its limit.
 func (p *Planner) crowded(now time.Time, e *engine) bool {
--- a/internal/core/fleet/place.go
+++ b/internal/core/fleet/place.go
@@ -20,8 +20,7 @@
 func (p *Planner) place(now time.Time, name string, fetch bool, w *Work) {
 	var best *placement
 	consider := func(e *engine, mayFetch bool) {
-		s, ok := p.placement(now, e, name, mayFetch)
-		if ok && (best == nil || s.cost < best.cost || (s.cost == best.cost && s.e.ep.ID < best.e.ep.ID)) {
+		if s, ok := p.placement(now, e, name, mayFetch); ok && s.cheaper(best) {
 			best = &s
 		}
 	}
@@ -40,11 +39,21 @@
 		}
 		return
 	}
-	if best.victim != "" {
-		p.issue(now, best.e, Order{Op: Unload, Want: Want{Model: best.victim}, Reason: "makes way for " + name + p.waitingSummary(name)}, unloadTime, w)
+	p.issuePlacement(now, name, *best, w)
+}
+
+// cheaper reports whether a placement is better than the best so far, which may be nil.
+func (s placement) cheaper(best *placement) bool {
+	return best == nil || s.cost < best.cost || (s.cost == best.cost && s.e.ep.ID < best.e.ep.ID)
+}
+
+// issuePlacement loads a model as placed, or evicts a model there first.
+func (p *Planner) issuePlacement(now time.Time, name string, s placement, w *Work) {
+	if s.victim != "" {
+		p.issue(now, s.e, Order{Op: Unload, Want: Want{Model: s.victim}, Reason: "makes way for " + name + p.waitingSummary(name)}, unloadTime, w)
 		return
 	}
-	p.issue(now, best.e, Order{Op: Load, Want: Want{Model: name}, Source: best.source, Reason: p.loadReason(now, name)}, best.loadTime, w)
+	p.issue(now, s.e, Order{Op: Load, Want: Want{Model: name}, Source: s.source, Reason: p.loadReason(now, name)}, s.loadTime, w)
 }
 
 // hasCopy reports whether some usable engine that does not hold a model has a copy of it, in
