--- a/internal/app/ctl/trace.go
+++ b/internal/app/ctl/trace.go
@@ -263,7 +263,8 @@
 		"all_tried":    "every endpoint had been tried",
 		"retry_budget": "the retry budget was used up",
 		"stopping":     "its entry was stopping and an answer could not have ended in time",
-		"quarantined":  "endpoints ended under it",
+		"quarantined":  "endpoints ended under it, or under a part of its prompt",
+		"suspect":      "an endpoint ended under a part of its prompt, and another request was trying that part",
 
 		"over_allowance":   "its customer used all that it may",
 		"allowance_unsure": "its entry heard no leader, and had used its part of what the customer may",
