--- a/internal/app/ctl/trace.go
+++ b/internal/app/ctl/trace.go
@@ -266,6 +266,9 @@
 		"quarantined":  "endpoints ended under it, or under a part of its prompt",
 		"suspect":      "an endpoint ended under a part of its prompt, and another request was trying that part",
 
+		"release_unknown": "it goes on with a stream, and nobody knew which software release had begun that",
+		"release_gone":    "it goes on with a stream, and no endpoint of the software release that began that served",
+
 		"over_allowance":   "its customer used all that it may",
 		"allowance_unsure": "its entry heard no leader, and had used its part of what the customer may",
 		"key_unknown":      "no customer has its key, or it had none",
