gateway: tries of one stream go to one service

A caller's next try of a stream was routed by its own id, perhaps to another service of a route that splits, whose release of that name has begun another stream. It goes by the id of the try that began the stream.

--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -121,7 +121,7 @@
 	if !x.charge() {
 		return x.refuseOverAllowance()
 	}
-	x.service = x.route.Pick(x.info.ID)
+	x.service = x.route.Pick(x.streamID())
 	x.lastEvent = info.LastEvent
 	left := x.route.Timeout
 	if info.TimeLeft > 0 {
--- a/internal/app/gateway/streams.go
+++ b/internal/app/gateway/streams.go
@@ -177,6 +177,15 @@
 	return x.route.Repeat == deploy.Stream && x.route.Resumable && (x.info.LastEvent != "" || x.info.Resumes != "")
 }
 
+// streamID returns the id of the request that began the stream, which is this one unless it takes a
+// stream up. Tries of one stream are sent to one service.
+func (x *exchange) streamID() string {
+	if x.takesUp() && x.info.Resumes != "" {
+		return x.info.Resumes
+	}
+	return x.info.ID
+}
+
 // findRelease finds the release that began the stream that the request takes up, and binds the request
 // to it. It returns false, with the reason set, if that is not known.
 func (x *exchange) findRelease(ctx context.Context) bool {
@@ -238,5 +247,5 @@
 		return
 	}
 	x.bound, x.release = true, x.g.dir.releaseOf(x.answering)
-	x.g.streams.began(time.Now(), x.info.ID, x.service, x.release)
+	x.g.streams.began(time.Now(), x.streamID(), x.service, x.release)
 }
