gateway: an endpoint's failure clears no part of a prompt

An endpoint's 500 or 404 cleared the suspect parts of the prompt, though it shows no work on them: the next request with the part ran without a trial. Only a success clears (TestFailureClearsNoPart, 500 and 404 failed before). A malformed Prompt-Prefix stands in the request's line (parts_unreadable).

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -195,7 +195,7 @@
 	if end.verdict == ending.BrokenOff {
 		return result{}, brokenError(err)
 	}
-	x.recordAnswer(end.proved())
+	x.recordAnswer(end.proved(), resp.Status < http.StatusMultipleChoices)
 	resp.Release()
 	a := answer{resp.Status, resp.Header, body, end.verdict}
 	if resp.Status >= http.StatusInternalServerError && x.route.MayRepeat() {
--- a/internal/app/gateway/ending.go
+++ b/internal/app/gateway/ending.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/adapter/http1"
@@ -73,7 +74,7 @@
 }
 
 func (x *exchange) endBody(resp *http1.Response, end bodyEnd) (result, error) {
-	x.recordAnswer(end.proved())
+	x.recordAnswer(end.proved(), resp.Status < http.StatusMultipleChoices)
 	resp.Release()
 	if err := x.c.EndBody(); err != nil {
 		return result{outcome: abandoned, final: true}, nil
--- a/internal/app/gateway/finish.go
+++ b/internal/app/gateway/finish.go
@@ -132,5 +132,8 @@
 	if x.reason == reasonSuspect {
 		ev.Strs("parts", x.partNames())
 	}
+	if x.info.PartsUnreadable {
+		ev.Bool("parts_unreadable", true)
+	}
 	ev.Msg("request_" + event)
 }
--- a/internal/app/gateway/parts_test.go
+++ b/internal/app/gateway/parts_test.go
@@ -120,6 +120,20 @@
 	is.Equal(b.arrivals(), 0)
 }
 
+// Guards against a harmful part that is cleared by an endpoint's failure, which shows no work on it.
+func TestFailureClearsNoPart(t *testing.T) {
+	for status, want := range map[int]int{500: 1, 404: 1, 200: 0} {
+		is := is.New(t)
+		g := startGateway(t, newFakeEndpoint(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+			return reply(c, r, status, event(1))
+		}))
+		publishSuspects(g, 1, poison.Update{Request: part("p"), Ends: 1, Part: true})
+		is.Equal(dial(t, g).ask("POST", "/stream/x", "r0", "b0", "Parts: p").status, status)
+		suspect, _ := g.suspects.suspectParts(time.Now(), []poison.Fingerprint{part("p")})
+		is.Equal(len(suspect), want)
+	}
+}
+
 func TestWhichPartsAnEndCountsAgainst(t *testing.T) {
 	g := startGateway(t, streamsOrEnds(t))
 	publishSuspects(g, 1)
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -104,10 +104,14 @@
 }
 
 // recordAnswer records that an endpoint answered the request completely and still runs, if that is
-// proved.
-func (x *exchange) recordAnswer(proved bool) {
-	if f, named := x.fingerprint(); named && proved {
-		x.g.suspects.recordAnswer(time.Now(), f)
+// proved. Only a success shows that it worked on the parts of the prompt.
+func (x *exchange) recordAnswer(proved, success bool) {
+	f, named := x.fingerprint()
+	if !named || !proved {
+		return
+	}
+	x.g.suspects.recordAnswer(time.Now(), f)
+	if success {
 		x.recordProven()
 	}
 }
