--- a/internal/app/controller/calls.go
+++ b/internal/app/controller/calls.go
@@ -165,6 +165,7 @@
 
 // applyReport applies a report while this host leads.
 func (c *Controller) applyReport(now time.Time, p wire.TellParams) {
+	c.sharedHosts = c.sharedHosts || p.SharedHosts
 	c.planner.RecordDemand(now, string(p.Host), p.Demands, p.Uses)
 	c.pub.recordInterest(now, p.Host, p.Demands)
 	c.notices.Record(now, string(p.Host), p.Notices)
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -11,6 +11,7 @@
 	"github.com/cassiapass/cassiapass/internal/app/control"
 	"github.com/cassiapass/cassiapass/internal/core/allowance"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
+	"github.com/cassiapass/cassiapass/internal/core/feature"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/holder"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
@@ -74,6 +75,10 @@
 	// SendRate is the rate in bytes a second of large answers to all entries together; 0
 	// selects a default for a link of 100 Mbit/s.
 	SendRate float64
+	// Features are the operator's settings for optional parts, and Pressure tells whether the platform
+	// asks for an order of urgency under overload.
+	Features feature.Settings
+	Pressure bool
 	// Metrics is the set in which the Controller registers its metrics.
 	Metrics *vm.Set
 	Log     zerolog.Logger
@@ -121,7 +126,8 @@
 	fencedTerm     uint64 // term in which an engine rejected an order because of a newer leader
 	planner        *fleet.Planner
 	decodedVersion uint64 // version of the planner's deployment
-	listing        bool   // a read of the list is in progress
+	deployed       *deploy.Config
+	listing        bool // a read of the list is in progress
 	listStarted    time.Time
 	listOK         bool                 // the list was read in this term
 	entries        map[string]time.Time // when each entry was last seen
@@ -133,12 +139,14 @@
 	unpublished    bool                 // some changes are not published to all entries yet
 	demandLogged   time.Time            // when demand was last logged
 
-	notices         *notice.Summary // what endpoints asked of entries
-	noticed         int             // endpoints in it, as last published
-	leavingLogged   map[string]bool // endpoints whose word that they leave was logged
-	limitsPublished time.Time       // last update of the published limits
-	limited         int             // endpoints whose limits were known then
-	unreadable      int             // unreadable entries of the list, as last logged
+	notices         *notice.Summary       // what endpoints asked of entries
+	noticed         int                   // endpoints in it, as last published
+	leavingLogged   map[string]bool       // endpoints whose word that they leave was logged
+	limitsPublished time.Time             // last update of the published limits
+	limited         int                   // endpoints whose limits were known then
+	unreadable      int                   // unreadable entries of the list, as last logged
+	featuresLogged  map[feature.Name]bool // optional parts in use, as last logged
+	sharedHosts     bool                  // an entry knows how fast the host of an endpoint is at the moment
 	etas            fleet.ETATable
 	etasUpdated     time.Time // when etas was last updated
 }
@@ -280,6 +288,7 @@
 	}
 	c.publish(now)
 	c.logDemand(now)
+	c.logFeatures()
 }
 
 // logDemand periodically logs the models with the highest demand, which shows
@@ -311,6 +320,7 @@
 		c.cfg.Log.Error().Uint64("version", d.Version).Err(err).Msg("deployment_not_readable")
 		return
 	}
+	c.deployed = cfg
 	c.planner.SetDeployment(cfg)
 	c.allow.setLimits(time.Now(), cfg.Customers)
 }
--- a/internal/app/gateway/dialect.go
+++ b/internal/app/gateway/dialect.go
@@ -31,6 +31,8 @@
 	MaxOutput int           // maximum of output tokens; 0 if not given
 	Tokens    int           // of the prompt and the maximum output together
 	HasTokens bool          // Tokens is given
+	Prompt    int           // tokens of the prompt; 0 if not given
+	Hint      int           // output tokens that the caller expects; 0 if not given
 	// Parts are the ids of the parts of its prompt that other requests may share, in order, each
 	// once. PartsUnreadable is set if some of what names them could not be read.
 	Parts           []string
@@ -45,6 +47,9 @@
 	Endpoint  string        // the platform's name for it
 	Priority  int           // 0 is the most urgent
 	LastEvent string
+	BackupTo  string // address of the endpoint to which the run's memory is copied while it grows; "" for none
+	// GoOnFrom names the copy of the run's memory from which the endpoint goes on; "" for none.
+	GoOnFrom string
 	// Authenticated is set where callers authenticate with keys: the key is not forwarded, and
 	// the endpoint receives Customer instead, "" for a caller without a key.
 	Authenticated bool
@@ -61,6 +66,7 @@
 	Running       int
 	Waiting       int
 	Slots         int
+	Slowness      float64 // time for work on the endpoint's host at this moment relative to the usual; 0 if not named
 	Limit         NamedLimit
 	Pause         NamedPause
 	Leaving       NamedLeaving
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -49,6 +49,7 @@
 	nextWake         time.Time                        // of the earliest pending timer of wakeAt; zero if there is none
 	unreadableLogged map[unreadableLog]bool           // unreadable pauses and leavings that were logged
 	unreadable       map[fleet.EndpointID]string      // the last unreadable limit that an endpoint named
+	sharedHosts      bool                             // an endpoint reported how fast its host is at the moment
 	changed          chan struct{}                    // closed and replaced when a waiting request should look again
 }
 
@@ -408,6 +409,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e.otherRunning = max(0, v.Running+v.Waiting-e.ownRunning)
+	d.sharedHosts = d.sharedHosts || v.Slowness > 0
 	if e.Slots == 0 {
 		e.Slots = v.Slots
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/adapter/sockets"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
+	"github.com/cassiapass/cassiapass/internal/core/feature"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/limit"
@@ -42,7 +43,11 @@
 	// AbortRevoked aborts running requests whose key is revoked; otherwise they continue,
 	// and only requests that were not sent yet are refused.
 	AbortRevoked bool
-	Log          zerolog.Logger
+	// Features are the operator's settings for optional parts, and Pressure tells whether the platform
+	// asks for an order of urgency under overload.
+	Features feature.Settings
+	Pressure bool
+	Log      zerolog.Logger
 }
 
 // Gateway is a running entry.
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/core/allowance"
 	"github.com/cassiapass/cassiapass/internal/core/ending"
+	"github.com/cassiapass/cassiapass/internal/core/feature"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 )
@@ -55,6 +57,14 @@
 	s.NewGauge("cassiapass_gateway_requests_quarantined", func() float64 { _, n := g.suspects.count(time.Now(), false); return float64(n) })
 	s.NewGauge("cassiapass_gateway_parts_suspect", func() float64 { n, _ := g.suspects.count(time.Now(), true); return float64(n) })
 	s.NewGauge("cassiapass_gateway_parts_quarantined", func() float64 { _, n := g.suspects.count(time.Now(), true); return float64(n) })
+	for _, n := range feature.Names() {
+		s.NewGauge(fmt.Sprintf("cassiapass_gateway_feature_in_use{feature=%q}", n), func() float64 {
+			if g.enabled(n) {
+				return 1
+			}
+			return 0
+		})
+	}
 	opshttp.RegisterByteCounters(s, &m.rpc)
 	return m
 }
--- a/internal/app/gateway/syncer.go
+++ b/internal/app/gateway/syncer.go
@@ -360,6 +360,7 @@
 	}
 	p := wire.TellParams{Host: s.g.cfg.Host, Demands: s.g.demands.report(time.Now()), Uses: s.g.dir.reportUses()}
 	p.Notices = s.g.dir.noticeReports(time.Now())
+	p.SharedHosts = s.g.dir.onSharedHosts()
 	p.Ends, p.Answered = s.g.suspects.report(time.Now(), s.reportedOn != conn)
 	s.reportedOn = conn
 	idle := len(p.Demands)+len(p.Uses)+len(p.Notices)+len(p.Ends)+len(p.Answered) == 0
--- a/internal/core/deploy/deploy.go
+++ b/internal/core/deploy/deploy.go
@@ -74,7 +74,17 @@
 	AdapterSlots   int     // adapters that an endpoint holds at the same time
 	EventTokens    int     // tokens in one event of a stream; 0 if not stated
 	StoreLoads     float64 // loads a second from the weight store, over all endpoints
-	Models         map[string]*Model
+	// Backups and Moves tell whether an endpoint copies the memory of a run to another one while it
+	// runs, and whether a run can be moved.
+	Backups bool
+	Moves   bool
+	// KVTokenBytes is the size of one token of a run's memory, and LinkMbps the rate in megabits a
+	// second at which endpoints send it; 0 if not stated.
+	KVTokenBytes int64
+	LinkMbps     float64
+	// CopyLife is how long a copy of a run's memory is kept for use after its last part.
+	CopyLife time.Duration
+	Models   map[string]*Model
 }
 
 // Model is one model of an engine.
@@ -97,6 +107,20 @@
 	IdleTimeout   time.Duration
 }
 
+// RunCopies tells whether engines of any service copy the memory of runs to other endpoints, and
+// whether any move runs. A nil configuration has none.
+func (c *Config) RunCopies() (backups, moves bool) {
+	if c == nil {
+		return false, false
+	}
+	for _, s := range c.Services {
+		if s.Engine != nil {
+			backups, moves = backups || s.Engine.Backups, moves || s.Engine.Moves
+		}
+	}
+	return backups, moves
+}
+
 // Check returns an error that says why a configuration is invalid, or nil.
 func (c *Config) Check() error {
 	byHostPrefix := make(map[[2]string]string, len(c.Routes))
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
+	"github.com/cassiapass/cassiapass/internal/core/pace"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
 )
 
@@ -95,13 +96,14 @@
 	copies           copyIndex
 	changed          bool // what was published to entries is out of date
 	residence        residence
-	copyLostAt       map[string]time.Time // model to when an engine with a copy was last lost
-	newETAs          map[string]bool      // models with a new ETA since the last call of TakeAwaitingEntries
-	newlyHeld        map[Want]bool        // what engines have come to hold since the last call of TakeAwaitingEntries
-	lastSpared       time.Time            // when a model in use was last evicted
-	loadFaults       *poison.Book         // ends of engines under loads of models and adapters
-	newlyQuarantined []Want               // newly in quarantine since the last plan
-	sumsStale        bool                 // wants and the engines' running counts lack the newest reports of entries
+	copyLostAt       map[string]time.Time       // model to when an engine with a copy was last lost
+	newETAs          map[string]bool            // models with a new ETA since the last call of TakeAwaitingEntries
+	newlyHeld        map[Want]bool              // what engines have come to hold since the last call of TakeAwaitingEntries
+	lastSpared       time.Time                  // when a model in use was last evicted
+	loadFaults       *poison.Book               // ends of engines under loads of models and adapters
+	newlyQuarantined []Want                     // newly in quarantine since the last plan
+	paces            map[EndpointID]pace.Factor // of endpoints known to be faster or slower than their peers
+	sumsStale        bool                       // wants and the engines' running counts lack the newest reports of entries
 }
 
 // model is the known demand for one model.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -380,6 +380,8 @@
 	// are suspect requests that were answered without ending an endpoint.
 	Ends     []poison.End         `json:"ends,omitempty"`
 	Answered []poison.Fingerprint `json:"answered,omitempty"`
+	// SharedHosts is set once an endpoint told the entry how fast its host is at the moment.
+	SharedHosts bool `json:"sharedHosts,omitempty"`
 	// Notices are what endpoints asked of the entry and is in force.
 	Notices []notice.Report `json:"notices,omitempty"`
 }
