control: heartbeats while a turn of the leader's loop takes long

Cause (KNOWN-RED, TestLargeDeploymentsOverSlowLinksKeepTheLeader): the loop that takes in a large change is also the one that sends heartbeats; a turn of 240 ms leaves followers 388 ms without a word, and one campaigns. Ruled out before: links, disks, the size of the append. Change: a goroutine of its own sends the heartbeats that the node had at the start of a turn once a turn lasts longer than the interval, at most for 0.8 s, so that a loop that hangs loses its leadership. Each equals a heartbeat that the network delayed (argument beside consensus.Node.Heartbeats); the random schedules now send them while a host is paused and after.

--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -151,6 +151,8 @@
 	c.cancel = cancel
 	c.loop.notifyDeployment()
 	c.loop.notifyPoison()
+	c.loop.beats.send = c.peers.send
+	go c.loop.beats.run(c.loop.stopped)
 	go c.loop.run()
 	close(c.started)
 	go c.forwardBeats(ctx)
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -57,6 +57,7 @@
 	duties      *duties
 	met         *metrics
 	watch       leaderWatch
+	beats       busyBeats
 	fatal       func(error)
 	group       ident.Group
 	startedAt   time.Time // of this process, with its monotonic clock
@@ -111,11 +112,11 @@
 		var begin time.Time
 		select {
 		case f := <-l.tasks:
-			begin = time.Now()
+			begin = l.beginTurn()
 			f()
 			l.runQueued()
 		case <-tick.C:
-			begin = time.Now()
+			begin = l.beginTurn()
 			l.node.Tick()
 			l.duties.tick(time.Now(), l)
 			l.tickRoster(time.Now())
@@ -126,10 +127,18 @@
 		if !l.processReady() {
 			return
 		}
+		l.beats.endTurn()
 		l.watch.observeTurn(begin, time.Now(), l.node)
 	}
 }
 
+// beginTurn begins a turn of the loop and returns the time.
+func (l *loop) beginTurn() time.Time {
+	now := time.Now()
+	l.beats.beginTurn(now, l.node.Heartbeats())
+	return now
+}
+
 // runQueued runs the tasks that are waiting already, so that one sync serves all
 // their proposals.
 func (l *loop) runQueued() {
--- a/internal/core/consensus/random_test.go
+++ b/internal/core/consensus/random_test.go
@@ -61,7 +61,8 @@
 	ents      []consensus.Entry
 	proposals map[uint64]*proposal
 	reads     map[uint64]*client
-	lost      []consensus.Entry // entries that a broken disk would lose
+	beats     []consensus.Message // heartbeats of an earlier moment, sent while the host is busy
+	lost      []consensus.Entry   // entries that a broken disk would lose
 }
 
 // repair is the replacement of a member that lost its disk, as by an operator.
@@ -105,7 +106,7 @@
 
 // crash loses everything that was not synced.
 func (s *sim) crash(n *simNode) {
-	n.up = false
+	n.up, n.beats = false, nil
 	if s.mut == loseVotes {
 		n.hs.Vote = consensus.None
 	}
@@ -254,6 +255,10 @@
 		}
 		if s.chance(0.001) {
 			n.paused = s.r.IntN(100)
+			n.beats = n.node.Heartbeats()
+		}
+		if s.chance(0.05) {
+			s.net = append(s.net, n.beats...)
 		}
 		if s.chance(0.001) {
 			s.crash(n)
@@ -428,7 +433,7 @@
 
 // Checks that no acknowledged change is lost, reverted or applied twice, with 3 and 5
 // voters, under lost, duplicated, delayed and reordered messages, one-way and two-way
-// partitions, clock pauses, crashes at every sync boundary, and replacement of hosts
+// partitions, clock pauses with heartbeats sent meanwhile, crashes at every sync boundary, and replacement of hosts
 // that lost their disks.
 func TestRandomRunsKeepEveryDecision(t *testing.T) {
 	for _, voters := range []int{3, 5} {
