--- a/internal/app/control/large_test.go
+++ b/internal/app/control/large_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -73,8 +74,14 @@
 			g.t.Logf("since %s:\n%s", begin.Format(time.StampMilli), lines.String())
 		}
 	})
+	watchProcessorTime(g.t, lines)
+}
+
+// watchProcessorTime writes a line to w whenever this process got no processor time for long, until
+// the test ends.
+func watchProcessorTime(t testing.TB, w io.Writer) {
 	stop := make(chan struct{})
-	g.t.Cleanup(func() { close(stop) })
+	t.Cleanup(func() { close(stop) })
 	go func() {
 		const nap, starved = 5 * time.Millisecond, 50 * time.Millisecond
 		for last := time.Now(); ; last = time.Now() {
@@ -84,7 +91,7 @@
 			case <-time.After(nap):
 			}
 			if gap := time.Since(last); gap > starved {
-				fmt.Fprintf(lines, "no_processor_time for %v\n", gap)
+				fmt.Fprintf(w, "no_processor_time for %v\n", gap)
 			}
 		}
 	}()
--- a/internal/app/control/peers_test.go
+++ b/internal/app/control/peers_test.go
@@ -17,6 +17,13 @@
 // were still in kernel buffers, so the probe behind them was not answered within its second.
 func TestProbeLeavesAConnectionWithALargeMessageAlone(t *testing.T) {
 	const size, rate = 3 << 20, 0.6e6
+	lines := &leadershipLines{}
+	watchProcessorTime(t, lines)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("failed at %s:\n%s", time.Now().Format(time.StampMilli), lines.String())
+		}
+	})
 	arrived := make(chan int, 1)
 	handle := func(_ context.Context, _ *rpc.Conn, method string, params json.RawMessage) (any, error) {
 		if method == "note" {
