urgency: late from a caller's time left, classes in the order of Compare

A repeat arrives with less time than the route's limit, so the age of the caller's first try is known, and whether the objective can still be met. A caller that has less time from the outset cannot be told apart and counts as a repeat.

--- a/internal/core/urgency/urgency_test.go
+++ b/internal/core/urgency/urgency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -27,3 +28,36 @@
 	is.True(Level(1).Weight() > Level(2).Weight())
 	is.Equal(LastLevel.Weight(), 1.0)
 }
+
+func TestClassesAreInTheOrderOfUrgency(t *testing.T) {
+	is := is.New(t)
+	for c := range Class(Classes) {
+		is.Equal(c.Urgency().Class(), c)
+		if c > 0 {
+			is.True((c - 1).Urgency().Compare(c.Urgency()) < 0)
+		}
+	}
+	is.Equal(Class(255).Urgency(), Urgency{Level: LastLevel, Late: true}) // from a newer process
+}
+
+// Guards against repeats of a caller that count as able to meet an objective that has passed.
+func TestLateFromTheTimeLeft(t *testing.T) {
+	const limit, objective = 12 * time.Second, 500 * time.Millisecond
+	for _, c := range []struct {
+		timing Timing
+		due    time.Duration
+		late   bool
+	}{
+		{Timing{Limit: limit, Objective: objective}, objective, false},                  // no time given
+		{Timing{Limit: limit, Objective: objective, Left: limit}, objective, false},     // first try
+		{Timing{Limit: limit, Objective: objective, Left: 2 * limit}, objective, false}, // more than the route allows
+		{Timing{Limit: limit, Objective: objective, Left: limit - 300*time.Millisecond}, 200 * time.Millisecond, false},
+		{Timing{Limit: limit, Objective: objective, Left: limit - 490*time.Millisecond}, 10 * time.Millisecond, true},
+		{Timing{Limit: limit, Objective: objective, Left: time.Second}, 0, true},
+		{Timing{Limit: limit, Left: time.Second}, time.Second, false}, // no objective
+	} {
+		is := is.New(t)
+		is.Equal(c.timing.Due(), c.due)
+		is.Equal(Of(1, c.timing), Urgency{Level: 1, Late: c.late})
+	}
+}
