allowances: a customer's urgent requests first

Cause: over its allowance a customer's requests all had the same chance.

Entries report demand by class (in time by level, then late by level); the leader divides the same sum in nested order, with a floor of a tenth of what one chance for all would give. Entries of an earlier release get their proportional part by the one chance; from a leader of an earlier release an entry divides its one chance itself, as it divides its own part while the leader is silent. A refused caller is told a time within its objective only if its class is expected to have room by then, and otherwise one by how long its class has had none.

--- a/internal/app/gateway/allowances.go
+++ b/internal/app/gateway/allowances.go
@@ -31,10 +31,10 @@
 }
 
 // admit decides whether a request of a customer is admitted.
-func (a *allowances) admit(c *customer.Customer, cost float64) allowance.Decision {
+func (a *allowances) admit(c *customer.Customer, q allowance.Ask) allowance.Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	d := a.client.Request(time.Now(), c.Name, c.Allowance, cost)
+	d := a.client.Decide(time.Now(), c.Name, c.Allowance, q)
 	a.signalReport()
 	return d
 }
@@ -123,8 +123,10 @@
 		return true
 	}
 	x.cost = c.Allowance.Cost(x.info.Tokens, x.info.HasTokens)
-	x.decision = x.g.allowances.admit(c, x.cost)
+	q := x.ask()
+	x.decision = x.g.allowances.admit(c, q)
 	x.g.metrics.countAllowance(c.Name, x.decision)
+	x.recordOrder(q)
 	return x.decision.Admitted
 }
 
--- a/internal/app/gateway/identity.go
+++ b/internal/app/gateway/identity.go
@@ -10,6 +10,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/customer"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/urgency"
 )
 
 const (
@@ -47,6 +48,9 @@
 	return r.Priority
 }
 
+// level returns how urgent a request is.
+func (a requester) level(r *deploy.Route) urgency.Level { return urgency.LevelOf(a.priority(r)) }
+
 // identify finds the customer that sent the request. It returns false if the caller is not
 // allowed, with the reason in the exchange. A key that is not known here may be in a
 // deployment that has not arrived yet: unless the last contact with the leader is recent,
--- /dev/null
+++ b/internal/app/gateway/urgency_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiapass/cassiapass/internal/core/allowance"
+	"github.com/cassiapass/cassiapass/internal/core/customer"
+	"github.com/cassiapass/cassiapass/internal/core/deploy"
+	"github.com/cassiapass/cassiapass/internal/core/feature"
+	"github.com/cassiapass/cassiapass/internal/core/urgency"
+)
+
+// Guards against an order by anything but the customer's priority, else the route's, and against late
+// repeats that count as fresh.
+func TestWhatARequestAsksOfAnAllowance(t *testing.T) {
+	g := startGateway(t)
+	g.cfg.Pressure = true
+	route := &deploy.Route{Timeout: 12 * time.Second, Objective: 500 * time.Millisecond, Priority: 1}
+	for _, c := range []struct {
+		customer customer.Customer
+		priority int
+		left     time.Duration
+		want     urgency.Urgency
+	}{
+		{customer.Customer{}, 1, 0, urgency.Urgency{Level: 1}},
+		{customer.Customer{HasPriority: true}, 1, 12 * time.Second, urgency.Urgency{Level: 0}},
+		{customer.Customer{HasPriority: true, Priority: 1_000_000_000}, 1, 0, urgency.Urgency{Level: urgency.LastLevel}},
+		{customer.Customer{}, -5, 0, urgency.Urgency{Level: 0}},
+		{customer.Customer{}, 2, 11 * time.Second, urgency.Urgency{Level: 2, Late: true}},
+	} {
+		is := is.New(t)
+		route.Priority = c.priority
+		x := &exchange{g: g, route: route, requester: requester{customer: &c.customer}, info: RequestFields{TimeLeft: c.left}, cost: 7}
+		q := x.ask()
+		is.Equal(urgency.Of(q.Level, q.Timing), c.want)
+		is.True(q.Ordered && q.Cost == 7)
+	}
+}
+
+// Guards against entries that put requests in order where no deployment or operator asks for it.
+func TestRequestsAreOrderedWhereAskedFor(t *testing.T) {
+	is := is.New(t)
+	g := startGateway(t)
+	x := &exchange{g: g, route: &deploy.Route{Timeout: time.Second}}
+	is.True(!x.ask().Ordered)
+	g.cfg.Features = feature.Settings{feature.Urgency: feature.On}
+	is.True(x.ask().Ordered)
+	g.cfg.Pressure, g.cfg.Features = true, feature.Settings{feature.Urgency: feature.Off}
+	is.True(!x.ask().Ordered)
+}
+
+// Guards against fresh urgent requests that are refused beside others of their customer, end to end.
+func TestUrgentRouteOfAHotCustomerIsServedFirst(t *testing.T) {
+	is := is.New(t)
+	b := newFakeEndpoint(t, answerOK)
+	g, _ := startLimited(t, 50, 50, b)
+	g.cfg.Pressure = true
+	t2 := testDeployment()
+	t2.Version, t2.Customers = 2, g.table.Load().Config().Customers
+	for i := range t2.Routes {
+		t2.Routes[i].Objective = 500 * time.Millisecond
+		if t2.Routes[i].Prefix == "/once/" {
+			t2.Routes[i].Priority = 2
+		}
+	}
+	g.activate(t2)
+	c := dial(t, g)
+	served := map[string]int{}
+	for begin := time.Now(); time.Since(begin) < 3*time.Second; time.Sleep(10 * time.Millisecond) {
+		for _, path := range []string{"/safe/x", "/once/x"} {
+			if c.ask("GET", path, "r1", "", "Key: k1").status == 200 && time.Since(begin) > 2*time.Second {
+				served[path]++
+			}
+		}
+	}
+	is.True(served["/safe/x"] > 2*served["/once/x"])
+	is.True(served["/safe/x"]+served["/once/x"] < 50+int(50*allowance.ReportInterval.Seconds())+20)
+}
--- a/internal/core/allowance/allocator.go
+++ b/internal/core/allowance/allocator.go
@@ -22,6 +22,8 @@
 	bucket
 	requested float64 // units since this leader started
 	used      float64
+	classes   classDemands
+	unclassed demand // of entries that report no classes
 }
 
 // NewAllocator returns the Allocator of a new leader.
@@ -100,6 +102,7 @@
 	p := a.entry(entry)
 	p.demand.add(now, u.Requested, demandDecay)
 	p.longDemand = u.LongDemand
+	a.addClasses(now, u)
 	a.setLevel(a.level - u.Used)
 	a.requested += u.Requested
 	a.used += u.Used
@@ -107,6 +110,9 @@
 	if total := a.demand(now); total > 0 {
 		s.Chance = a.chance(total)
 		s.Pressure = total / a.rate
+		if len(u.Classes) > 0 {
+			s.Classes = a.shares(now, total)
+		}
 	}
 	if longDemand := a.longDemand(now); longDemand > 0 {
 		p.fallback = a.fallbackPart(p, longDemand)
@@ -119,9 +125,12 @@
 // chance returns the probability of admission at a demand, such that use equals the fill rate
 // and the level, or the debt, is used up within levelDrainTime.
 func (a *account) chance(demand float64) float64 {
-	return min(1, max(0, (a.fill+a.level/levelDrainTime.Seconds())/demand))
+	return min(1, a.available()/demand)
 }
 
+// available returns the units a second that may be used now.
+func (a *account) available() float64 { return max(0, a.fill+a.level/levelDrainTime.Seconds()) }
+
 // Status is the state of one customer's bucket, for operators.
 type Status struct {
 	Customer ident.Customer `json:"customer"`
--- a/internal/core/allowance/client.go
+++ b/internal/core/allowance/client.go
@@ -5,6 +5,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/core/customer"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/urgency"
 )
 
 // Client is an entry's side: it decides on requests and collects use for the reports to the
@@ -31,6 +32,7 @@
 	credit        float64   // units that may be spent while the leader is silent
 	creditAt      time.Time // when credit was last updated
 	lastRequest   time.Time
+	classes       localClasses // of the requests that are ordered by urgency
 }
 
 // Decision tells whether a request is admitted under its customer's allowance.
@@ -42,6 +44,10 @@
 	Pressure float64
 	Age      time.Duration // of the leader's last answer
 	Silent   bool          // the leader does not answer reports
+	// GaveWay is set if a more urgent class of the customer's requests, GaveWayTo, had a better
+	// chance.
+	GaveWay   bool
+	GaveWayTo urgency.Class
 }
 
 // NewClient returns a Client without customers. draw returns a random number from 0 to 1.
@@ -49,31 +55,56 @@
 	return &Client{draw: draw, accounts: map[ident.Customer]*localAccount{}}
 }
 
-// Request decides whether a customer's request of the given cost, in units, is admitted.
+// Request decides whether a customer's request of the given cost, in units, is admitted. All requests
+// of the customer have the same chance.
 func (c *Client) Request(now time.Time, name ident.Customer, limit customer.Allowance, cost float64) Decision {
+	return c.Decide(now, name, limit, Ask{Cost: cost})
+}
+
+// Decide decides whether a customer's request is admitted.
+func (c *Client) Decide(now time.Time, name ident.Customer, limit customer.Allowance, q Ask) Decision {
 	a := c.account(name, limit)
 	a.lastRequest = now
-	a.requested += cost
-	a.longDemand.add(now, cost, longDemandDecay)
+	a.requested += q.Cost
+	a.longDemand.add(now, q.Cost, longDemandDecay)
 	d := Decision{Chance: 1, Pressure: a.pressure, Age: now.Sub(c.lastAnswer), Silent: c.silent}
 	if now.Sub(a.chanceAt) <= chanceMaxAge {
 		d.Chance = a.chance
 	}
+	var shares []ClassShare
+	var own ClassShare
+	if q.Ordered {
+		a.classes.add(now, q.class(), q.Cost)
+		shares = a.order(now, c.silent, d.Chance)
+		own = shareOf(shares, q.class())
+		d.Chance = own.Chance
+	}
 	switch {
 	case !c.silent:
 		d.Admitted = d.Chance >= 1 || c.draw() < d.Chance
-	case d.Age <= fallbackDuration:
-		d.Admitted = a.spendFallback(now, cost, c.draw())
+	case d.Age > fallbackDuration:
+	case q.Ordered && d.Chance < 1 && c.draw() >= d.Chance: // the entry's part is for more urgent requests
+	default:
+		d.Admitted = a.spendFallback(now, q.Cost, c.draw())
 	}
 	switch {
 	case !d.Admitted:
-		d.RetryAfter = time.Duration((0.5 + c.draw()) * max(1, min(a.pressure, maxPressure)) * float64(retryAfter))
+		d.GaveWayTo, d.GaveWay = gaveWayTo(shares, own)
+		d.RetryAfter = c.retryAfter(a, q, shares, own)
 	case !c.silent || d.Age <= silentAfter:
-		a.used += cost // later use is covered by what the leader withholds
+		a.used += q.Cost // later use is covered by what the leader withholds
 	}
 	return d
 }
 
+// retryAfter returns the time after which a refused request should be tried again.
+func (c *Client) retryAfter(a *localAccount, q Ask, shares []ClassShare, own ClassShare) time.Duration {
+	if own.Wait > 0 {
+		return comeBack(q, shares, own, c.draw())
+	}
+	return time.Duration((0.5 + c.draw()) * max(1, min(a.pressure, maxPressure)) * float64(retryAfter))
+}
+
 // account returns a customer's account under the limit in force. A lower limit reduces the
 // fallback rate in proportion.
 func (c *Client) account(name ident.Customer, limit customer.Allowance) *localAccount {
@@ -94,8 +125,7 @@
 // is admitted with probability credit/cost and the credit is set to 0: on average no more is
 // spent than was available.
 func (a *localAccount) spendFallback(now time.Time, cost, draw float64) bool {
-	a.credit = min(a.credit+a.fallback*now.Sub(a.creditAt).Seconds(), max(a.fallback, a.fallbackBurst))
-	a.creditAt = now
+	a.credit, a.creditAt = a.saved(now), now
 	if a.credit < cost {
 		admitted := draw*cost < a.credit
 		a.credit = 0
@@ -105,6 +135,11 @@
 	return true
 }
 
+// saved returns the units that may be spent now while the leader is silent.
+func (a *localAccount) saved(now time.Time) float64 {
+	return min(a.credit+a.fallback*now.Sub(a.creditAt).Seconds(), max(a.fallback, a.fallbackBurst))
+}
+
 // Refund refunds the units of an admitted request that did not run.
 func (c *Client) Refund(name ident.Customer, cost float64) {
 	if a := c.accounts[name]; a != nil {
@@ -133,7 +168,7 @@
 			}
 			continue
 		}
-		a.sent = Use{Customer: name, Requested: a.requested, Used: a.used, LongDemand: a.longDemand.rate(now, longDemandDecay)}
+		a.sent = Use{Customer: name, Requested: a.requested, Used: a.used, LongDemand: a.longDemand.rate(now, longDemandDecay), Classes: a.classes.report()}
 		a.requested, a.used = 0, 0
 		out = append(out, a.sent)
 	}
@@ -143,15 +178,18 @@
 // Answered applies the leader's answer to the last report.
 func (c *Client) Answered(now time.Time, shares []Share) {
 	c.lastAnswer, c.silent = now, false
-	for _, a := range c.accounts {
-		a.sent = Use{}
-	}
 	for _, s := range shares {
 		if a := c.accounts[s.Customer]; a != nil {
 			a.chance, a.chanceAt, a.pressure = s.Chance, now, s.Pressure
 			a.fallback, a.fallbackBurst = s.Fallback, s.FallbackBurst
+			if len(a.sent.Classes) > 0 {
+				a.classes.shares = s.Classes
+			}
 		}
 	}
+	for _, a := range c.accounts {
+		a.sent = Use{}
+	}
 }
 
 // Unanswered records that the last report was not answered, or that there is no leader. Its
@@ -161,6 +199,7 @@
 	for _, a := range c.accounts {
 		a.requested += a.sent.Requested
 		a.used += a.sent.Used
+		a.classes.restore(a.sent.Classes)
 		a.sent = Use{}
 		if !c.silent {
 			a.credit, a.creditAt = a.fallbackBurst, now
--- a/internal/core/allowance/model_test.go
+++ b/internal/core/allowance/model_test.go
@@ -48,6 +48,7 @@
 	log           []spent
 	largest       float64
 	pressure      float64
+	ask           func(e *modelEntry, cost float64) Ask // nil if all requests have the same chance
 }
 
 func newModel(seed uint64) *model {
@@ -172,7 +173,11 @@
 
 func (m *model) request(e *modelEntry) {
 	cost := m.r.Float64() * m.largest
-	if d := e.client.Request(m.now, "a", m.limit, cost); d.Admitted {
+	q := Ask{Cost: cost}
+	if m.ask != nil {
+		q = m.ask(e, cost)
+	}
+	if d := e.client.Decide(m.now, "a", m.limit, q); d.Admitted {
 		m.log = append(m.log, spent{m.now, cost, d.Silent})
 	}
 }
