fleet: models of urgent requests first

Entries report demand by level too; the leader counts each request with the weight of its level in the gain of a load, the order of busy models and of missing ones (the store's next place), and in what an eviction costs. Kinds of different urgency share no model on either new site, so this is where they compete. Weights, not a strict order: nine waiting digests still come before one alert. Entries that report no levels count as level 1.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -282,6 +282,7 @@
 	c.updateHolding(now)
 	c.commitDueQuarantines(now)
 	c.publishNotices(now)
+	c.planner.SetByLevel(c.enabled(feature.Urgency))
 	if c.listOK && c.fencedTerm != c.term && c.holding.recorded {
 		c.execute(c.planner.Plan(now))
 		c.met.observePlan(time.Since(now))
--- a/internal/app/gateway/demand.go
+++ b/internal/app/gateway/demand.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
+	"github.com/cassiapass/cassiapass/internal/core/urgency"
 )
 
 // demands counts arriving and waiting requests, to be reported to the leader.
@@ -18,6 +20,7 @@
 // wantDemand counts the requests for one model or adapter.
 type wantDemand struct {
 	arrived  int
+	byLevel  map[urgency.Level]int   // arrived, if more urgent requests go first
 	deferred int                     // refused with the time at which the model will be held
 	since    map[*exchange]time.Time // when each waiting request began to wait
 }
@@ -29,20 +32,24 @@
 func (d *demands) forWant(w fleet.Want) *wantDemand {
 	x, ok := d.byWant[w]
 	if !ok {
-		x = &wantDemand{since: map[*exchange]time.Time{}}
+		x = &wantDemand{byLevel: map[urgency.Level]int{}, since: map[*exchange]time.Time{}}
 		d.byWant[w] = x
 	}
 	return x
 }
 
-// recordArrival counts a request.
-func (d *demands) recordArrival(w fleet.Want) {
+// recordArrival counts a request; level is nil if all requests count the same.
+func (d *demands) recordArrival(w fleet.Want, level *urgency.Level) {
 	if w.Model == "" {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.forWant(w).arrived++
+	x := d.forWant(w)
+	x.arrived++
+	if level != nil {
+		x.byLevel[*level]++
+	}
 }
 
 // beginWait records that a request waits, and triggers a report to the leader.
@@ -88,8 +95,15 @@
 	for w, x := range d.byWant {
 		dm := fleet.Demand{Want: w, Arrived: x.arrived, Refused: x.deferred}
 		x.arrived, x.deferred = 0, 0
+		for _, l := range slices.Sorted(maps.Keys(x.byLevel)) {
+			dm.OfLevel(l).Arrived = x.byLevel[l]
+		}
+		clear(x.byLevel)
 		for ex, at := range x.since {
 			dm.Add(now.Sub(at), ex.deadline.Sub(now), ex.arrived.Add(ex.route.Objective).Sub(now))
+			if ex.ordered {
+				dm.OfLevel(ex.level).AddWaiting(ex.timing().Due() - now.Sub(ex.arrived))
+			}
 			if ex.bound && ex.release != "" && !slices.Contains(dm.Releases, ex.release) {
 				dm.Releases = append(dm.Releases, ex.release)
 			}
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/limit"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/release"
+	"github.com/cassiapass/cassiapass/internal/core/urgency"
 )
 
 // errCallerGone is the cancellation cause when the caller closed its connection.
@@ -41,6 +42,8 @@
 	info      RequestFields
 	route     *deploy.Route
 	requester requester
+	ordered   bool               // more urgent requests go first
+	level     urgency.Level      // how urgent it is
 	cost      float64            // units taken from the customer's allowance
 	decision  allowance.Decision // on that cost
 	service   string
@@ -118,6 +121,7 @@
 	if st := x.standing(); st.Quarantined {
 		return x.refuse(http.StatusServiceUnavailable, "not_run")
 	}
+	x.setUrgency()
 	if !x.charge() {
 		return x.refuseOverAllowance()
 	}
@@ -134,7 +138,7 @@
 	defer abort(nil)
 	c.Watch(func() { abort(errCallerGone) })
 	defer g.revocations.track(x.requester, abort)()
-	g.demands.recordArrival(info.Want)
+	g.demands.recordArrival(info.Want, x.levelToReport())
 	g.budget(x.service, func(b *limit.Shared) bool { b.Request(); return true })
 	outcome := x.run(callerCtx)
 	c.Unwatch()
--- a/internal/app/gateway/syncer_test.go
+++ b/internal/app/gateway/syncer_test.go
@@ -85,7 +85,7 @@
 	time.Sleep(3 * reportInterval)
 	is.Equal(len(l.reports()), 1) // an empty report, once
 
-	g.demands.recordArrival(fleet.Want{Model: "m"})
+	g.demands.recordArrival(fleet.Want{Model: "m"}, nil)
 	waitForReports(3) // what arrived, and an empty report
 	is.Equal(l.reports()[1].Demands[0].Arrived, 1)
 	is.Equal(len(l.reports()[2].Demands), 0)
--- a/internal/app/gateway/urgency.go
+++ b/internal/app/gateway/urgency.go
@@ -13,9 +13,23 @@
 	return urgency.Timing{Limit: x.route.Timeout, Objective: x.route.Objective, Left: x.info.TimeLeft}
 }
 
+// setUrgency determines whether more urgent requests go first, and how urgent the request is.
+func (x *exchange) setUrgency() {
+	x.ordered, x.level = x.g.enabled(feature.Urgency), x.requester.level(x.route)
+}
+
+// levelToReport returns the level with which the request counts at the leader; nil if all requests
+// count the same.
+func (x *exchange) levelToReport() *urgency.Level {
+	if !x.ordered {
+		return nil
+	}
+	return &x.level
+}
+
 // ask returns what the request asks of its customer's allowance.
 func (x *exchange) ask() allowance.Ask {
-	return allowance.Ask{Cost: x.cost, Ordered: x.g.enabled(feature.Urgency), Level: x.requester.level(x.route), Timing: x.timing()}
+	return allowance.Ask{Cost: x.cost, Ordered: x.ordered, Level: x.level, Timing: x.timing()}
 }
 
 // recordOrder counts what a customer's allowance held for a request of its level, and logs to whom a
--- a/internal/app/gateway/urgency_test.go
+++ b/internal/app/gateway/urgency_test.go
@@ -34,6 +34,7 @@
 		is := is.New(t)
 		route.Priority = c.priority
 		x := &exchange{g: g, route: route, requester: requester{customer: &c.customer}, info: RequestFields{TimeLeft: c.left}, cost: 7}
+		x.setUrgency()
 		q := x.ask()
 		is.Equal(urgency.Of(q.Level, q.Timing), c.want)
 		is.True(q.Ordered && q.Cost == 7)
@@ -45,11 +46,15 @@
 	is := is.New(t)
 	g := startGateway(t)
 	x := &exchange{g: g, route: &deploy.Route{Timeout: time.Second}}
-	is.True(!x.ask().Ordered)
+	ordered := func() bool {
+		x.setUrgency()
+		return x.ask().Ordered && x.levelToReport() != nil
+	}
+	is.True(!ordered())
 	g.cfg.Features = feature.Settings{feature.Urgency: feature.On}
-	is.True(x.ask().Ordered)
+	is.True(ordered())
 	g.cfg.Pressure, g.cfg.Features = true, feature.Settings{feature.Urgency: feature.Off}
-	is.True(!x.ask().Ordered)
+	is.True(!ordered())
 }
 
 // Guards against fresh urgent requests that are refused beside others of their customer, end to end.
--- a/internal/core/fleet/busy.go
+++ b/internal/core/fleet/busy.go
@@ -13,7 +13,7 @@
 	var out []modelRate
 	for name := range p.models {
 		if rate := p.rate(now, name); rate >= busyRate {
-			out = append(out, modelRate{name, rate})
+			out = append(out, modelRate{name, p.weightedRate(now, name)})
 		}
 	}
 	return byRate(out)
--- a/internal/core/fleet/demand.go
+++ b/internal/core/fleet/demand.go
@@ -22,6 +22,8 @@
 	// Releases are those to which waiting requests are bound: they go on with streams that these
 	// began, and engines of other releases cannot take them.
 	Releases []release.Name `json:"releases,omitempty"`
+	// Levels are the same counts by level, if more urgent requests go first.
+	Levels []LevelDemand `json:"levels,omitempty"`
 }
 
 // coldStart is the time from the decision to load a request's model until its first answer:
@@ -54,6 +56,7 @@
 	due     time.Duration // least time until an objective that can still be met
 	// releases are those to which waiting requests are bound.
 	releases []release.Name
+	weighted weightedDemand
 }
 
 func (s *demand) add(d Demand) {
@@ -69,6 +72,7 @@
 		s.due = d.Due
 	}
 	s.inTime += d.InTime
+	s.weighted.add(d)
 }
 
 const (
@@ -80,9 +84,13 @@
 )
 
 // gain is the expected benefit of loading w, in requests answered in time: those that wait,
-// those expected within arrivalHorizon, and lateValue for each that is late already.
+// those expected within arrivalHorizon, and lateValue for each that is late already. With
+// SetByLevel each counts with the weight of its level.
 func (p *Planner) gain(now time.Time, w Want) float64 {
 	d := p.wants[w]
+	if p.byLevel {
+		return d.weighted.inTime + lateValue*d.weighted.late + p.weightedRate(now, w.Model)*arrivalHorizon.Seconds()
+	}
 	return float64(d.inTime) + lateValue*float64(d.waiting-d.inTime) + p.rate(now, w.Model)*arrivalHorizon.Seconds()
 }
 
--- a/internal/core/fleet/eta.go
+++ b/internal/core/fleet/eta.go
@@ -30,12 +30,12 @@
 )
 
 // missing returns the recently requested models that no engine holds, by falling request
-// rate.
+// rate, weighted with SetByLevel.
 func (p *Planner) missing(now time.Time) []string {
 	var out []modelRate
 	for name, m := range p.models {
 		if p.survey.holders[name] == 0 && now.Sub(m.askedAt) < recentDemand {
-			out = append(out, modelRate{name, p.rate(now, name)})
+			out = append(out, modelRate{name, p.weightedRate(now, name)})
 		}
 	}
 	return byRate(out)
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -103,14 +103,16 @@
 	loadFaults       *poison.Book               // ends of engines under loads of models and adapters
 	newlyQuarantined []Want                     // newly in quarantine since the last plan
 	paces            map[EndpointID]pace.Factor // of endpoints known to be faster or slower than their peers
+	byLevel          bool                       // demand counts with the weight of its level
 	sumsStale        bool                       // wants and the engines' running counts lack the newest reports of entries
 }
 
 // model is the known demand for one model.
 type model struct {
-	rate    float64 // requests a second, decayed
-	ratedAt time.Time
-	askedAt time.Time
+	rate     float64 // requests a second, decayed
+	weighted float64 // the same, each counted with the weight of its level
+	ratedAt  time.Time
+	askedAt  time.Time
 	// missingSince is since when it has been requested without an engine that holds it; zero
 	// if it is not missing.
 	missingSince time.Time
@@ -276,11 +278,14 @@
 	}
 	m.decay(now, p.cfg.RateHalfLife)
 	m.rate += float64(d.Arrived) * math.Ln2 / p.cfg.RateHalfLife.Seconds()
+	m.weighted += d.arrivedWeight() * math.Ln2 / p.cfg.RateHalfLife.Seconds()
 }
 
 func (m *model) decay(now time.Time, halfLife time.Duration) {
 	if dt := now.Sub(m.ratedAt); dt > 0 {
-		m.rate *= math.Exp2(-dt.Seconds() / halfLife.Seconds())
+		kept := math.Exp2(-dt.Seconds() / halfLife.Seconds())
+		m.rate *= kept
+		m.weighted *= kept
 		m.ratedAt = now
 	}
 }
--- a/internal/core/fleet/spare.go
+++ b/internal/core/fleet/spare.go
@@ -54,7 +54,7 @@
 		if waited || p.survey.holders[name] < 2 || rate > others*p.ratePerReplica(name) || !p.othersCanTakeOver(e, name) {
 			continue
 		}
-		out = append(out, victim{name, rate})
+		out = append(out, victim{name, p.weightedRate(now, name)})
 	}
 	slices.SortFunc(out, func(a, b victim) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name)) })
 	return out
--- a/internal/core/fleet/survey.go
+++ b/internal/core/fleet/survey.go
@@ -113,7 +113,7 @@
 
 // victims returns the idle models of an engine, the cheapest to lose first. The cost of a
 // model is its load time from disk multiplied by its request rate, up to 2 a second, as a
-// measure of how likely it is requested soon. The rate counts a quarter for a model that
+// measure of how likely it is requested soon, and by the weight of its requests. The rate counts a quarter for a model that
 // another engine holds as well.
 func (p *Planner) victims(now time.Time, e *engine, eng *deploy.Engine) []victim {
 	var out []victim
@@ -129,7 +129,7 @@
 		// The longer unused, the less likely to be requested soon: LRU decides between equal
 		// rates.
 		idle := now.Sub(h.lastUsed).Seconds()
-		out = append(out, victim{name, min(rate, 2)*m.FromDisk.Seconds() + 0.05/(1+idle)})
+		out = append(out, victim{name, min(rate, 2)*p.weight(now, name)*m.FromDisk.Seconds() + 0.05/(1+idle)})
 	}
 	slices.SortFunc(out, func(a, b victim) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name)) })
 	return out
