allowances: of equally urgent requests those that use least first

The units that a customer may use go to ranks: class of urgency, then the binary logarithm of the cost (Token-Count). Every rank keeps the floor.

--- a/internal/core/allowance/allocator.go
+++ b/internal/core/allowance/allocator.go
@@ -22,8 +22,8 @@
 	bucket
 	requested float64 // units since this leader started
 	used      float64
-	classes   classDemands
-	unclassed demand // of entries that report no classes
+	ranks     rankDemands
+	unranked  demand // of entries that report no ranks
 }
 
 // NewAllocator returns the Allocator of a new leader.
@@ -102,7 +102,7 @@
 	p := a.entry(entry)
 	p.demand.add(now, u.Requested, demandDecay)
 	p.longDemand = u.LongDemand
-	a.addClasses(now, u)
+	a.addRanks(now, u)
 	a.setLevel(a.level - u.Used)
 	a.requested += u.Requested
 	a.used += u.Used
@@ -110,8 +110,8 @@
 	if total := a.demand(now); total > 0 {
 		s.Chance = a.chance(total)
 		s.Pressure = total / a.rate
-		if len(u.Classes) > 0 {
-			s.Classes = a.shares(now, total)
+		if len(u.Ranks) > 0 {
+			s.Ranks = a.shares(now, total)
 		}
 	}
 	if longDemand := a.longDemand(now); longDemand > 0 {
--- a/internal/core/allowance/client.go
+++ b/internal/core/allowance/client.go
@@ -32,7 +32,7 @@
 	credit        float64   // units that may be spent while the leader is silent
 	creditAt      time.Time // when credit was last updated
 	lastRequest   time.Time
-	classes       localClasses // of the requests that are ordered by urgency
+	ranks         localRanks // of the requests that are ordered by urgency
 }
 
 // Decision tells whether a request is admitted under its customer's allowance.
@@ -71,12 +71,12 @@
 	if now.Sub(a.chanceAt) <= chanceMaxAge {
 		d.Chance = a.chance
 	}
-	var shares []ClassShare
-	var own ClassShare
+	var shares []RankShare
+	var own RankShare
 	if q.Ordered {
-		a.classes.add(now, q.class(), q.Cost)
+		a.ranks.add(now, q.rank(), q.Cost)
 		shares = a.order(now, c.silent, d.Chance)
-		own = shareOf(shares, q.class())
+		own = shareOf(shares, q.rank())
 		d.Chance = own.Chance
 	}
 	switch {
@@ -98,7 +98,7 @@
 }
 
 // retryAfter returns the time after which a refused request should be tried again.
-func (c *Client) retryAfter(a *localAccount, q Ask, shares []ClassShare, own ClassShare) time.Duration {
+func (c *Client) retryAfter(a *localAccount, q Ask, shares []RankShare, own RankShare) time.Duration {
 	if own.Wait > 0 {
 		return comeBack(q, shares, own, c.draw())
 	}
@@ -168,7 +168,7 @@
 			}
 			continue
 		}
-		a.sent = Use{Customer: name, Requested: a.requested, Used: a.used, LongDemand: a.longDemand.rate(now, longDemandDecay), Classes: a.classes.report()}
+		a.sent = Use{Customer: name, Requested: a.requested, Used: a.used, LongDemand: a.longDemand.rate(now, longDemandDecay), Ranks: a.ranks.report()}
 		a.requested, a.used = 0, 0
 		out = append(out, a.sent)
 	}
@@ -182,8 +182,8 @@
 		if a := c.accounts[s.Customer]; a != nil {
 			a.chance, a.chanceAt, a.pressure = s.Chance, now, s.Pressure
 			a.fallback, a.fallbackBurst = s.Fallback, s.FallbackBurst
-			if len(a.sent.Classes) > 0 {
-				a.classes.shares = s.Classes
+			if len(a.sent.Ranks) > 0 {
+				a.ranks.shares = s.Ranks
 			}
 		}
 	}
@@ -199,7 +199,7 @@
 	for _, a := range c.accounts {
 		a.requested += a.sent.Requested
 		a.used += a.sent.Used
-		a.classes.restore(a.sent.Classes)
+		a.ranks.restore(a.sent.Ranks)
 		a.sent = Use{}
 		if !c.silent {
 			a.credit, a.creditAt = a.fallbackBurst, now
--- a/internal/core/allowance/doc.go
+++ b/internal/core/allowance/doc.go
@@ -23,8 +23,8 @@
 //     For entries from which a new leader has received nothing yet, it withholds their
 //     proportional part.
 //
-// Where a customer's more urgent requests go first, entries report demand by class of urgency and the
-// answer holds a chance for each class, such that the same sum is admitted (classes.go). A request
+// Where a customer's more urgent requests go first, entries report demand by rank and the answer holds
+// a chance for each rank, such that the same sum is admitted (ranks.go). A request
 // that the leader has not seen the like of is admitted until the next report, as any other.
 //
 // Entries that share one bucket by reports and a common answer are the "global token bucket"
--- a/internal/core/allowance/order.go
+++ b/internal/core/allowance/order.go
@@ -16,53 +16,53 @@
 	Timing  urgency.Timing
 }
 
-// class returns the class of the request's urgency.
-func (q Ask) class() urgency.Class { return urgency.Of(q.Level, q.Timing).Class() }
+// rank returns the request's place among those of its customer.
+func (q Ask) rank() Rank { return rankOf(urgency.Of(q.Level, q.Timing), q.Cost) }
 
-// localClasses is the demand for one customer by class of urgency at one entry.
-type localClasses struct {
-	recent     classDemands              // averaged over longDemandDecay
-	unreported map[urgency.Class]float64 // units
-	shares     []ClassShare              // from the leader's last answer; none from an earlier release
+// localRanks is the demand for one customer by rank at one entry.
+type localRanks struct {
+	recent     rankDemands      // averaged over longDemandDecay
+	unreported map[Rank]float64 // units
+	shares     []RankShare      // from the leader's last answer; none from an earlier release
 }
 
-func (l *localClasses) add(now time.Time, class urgency.Class, cost float64) {
-	l.recent.of(class).demand.add(now, cost, longDemandDecay)
+func (l *localRanks) add(now time.Time, rank Rank, cost float64) {
+	l.recent.of(rank).demand.add(now, cost, longDemandDecay)
 	if l.unreported == nil {
-		l.unreported = map[urgency.Class]float64{}
+		l.unreported = map[Rank]float64{}
 	}
-	l.unreported[class] += cost
+	l.unreported[rank] += cost
 }
 
 // report returns what was asked for since the last report.
-func (l *localClasses) report() []ClassUse {
-	var out []ClassUse
-	for class, requested := range l.unreported {
-		out = append(out, ClassUse{class, requested})
+func (l *localRanks) report() []RankUse {
+	var out []RankUse
+	for rank, requested := range l.unreported {
+		out = append(out, RankUse{rank, requested})
 	}
 	clear(l.unreported)
 	return out
 }
 
 // restore adds a report that was not answered to the next one.
-func (l *localClasses) restore(sent []ClassUse) {
+func (l *localRanks) restore(sent []RankUse) {
 	for _, s := range sent {
-		l.unreported[s.Class] += s.Requested
+		l.unreported[s.Rank] += s.Requested
 	}
 }
 
-// divide returns the shares of the classes if this entry has so many units a second for all of them.
-func (l *localClasses) divide(now time.Time, units float64) []ClassShare {
+// divide returns the shares of the ranks if this entry has so many units a second for all of them.
+func (l *localRanks) divide(now time.Time, units float64) []RankShare {
 	demands := l.recent.rates(now, longDemandDecay)
-	out := make([]ClassShare, len(demands))
+	out := make([]RankShare, len(demands))
 	for i, chance := range nest(units, demands) {
-		out[i] = ClassShare{Class: l.recent[i].class, Chance: chance}
+		out[i] = RankShare{Rank: l.recent[i].rank, Chance: chance}
 	}
 	return out
 }
 
-// divideChance returns the shares of the classes such that together they are admitted with one chance.
-func (l *localClasses) divideChance(now time.Time, chance float64) []ClassShare {
+// divideChance returns the shares of the ranks such that together they are admitted with one chance.
+func (l *localRanks) divideChance(now time.Time, chance float64) []RankShare {
 	total := 0.0
 	for _, d := range l.recent.rates(now, longDemandDecay) {
 		total += d
@@ -72,20 +72,20 @@
 
 // order returns the shares that apply to a customer's requests: those of the leader's answer, of
 // this entry's part while the leader is silent, or of the one chance that an earlier release tells.
-func (a *localAccount) order(now time.Time, silent bool, chance float64) []ClassShare {
+func (a *localAccount) order(now time.Time, silent bool, chance float64) []RankShare {
 	switch {
 	case silent:
-		return a.classes.divide(now, a.fallback+a.saved(now)/creditDuration.Seconds())
+		return a.ranks.divide(now, a.fallback+a.saved(now)/creditDuration.Seconds())
 	case now.Sub(a.chanceAt) > chanceMaxAge:
 		return nil
-	case len(a.classes.shares) > 0:
-		return a.classes.shares
+	case len(a.ranks.shares) > 0:
+		return a.ranks.shares
 	}
-	return a.classes.divideChance(now, chance)
+	return a.ranks.divideChance(now, chance)
 }
 
-// gaveWayTo returns the next more urgent class that has a better chance than a class, if any.
-func gaveWayTo(shares []ClassShare, own ClassShare) (urgency.Class, bool) {
+// gaveWayTo returns the next more urgent class that has a better chance than a rank, if any.
+func gaveWayTo(shares []RankShare, own RankShare) (urgency.Class, bool) {
 	for i := len(shares) - 1; i >= 0; i-- {
 		if shares[i].Class < own.Class && shares[i].Chance > own.Chance {
 			return shares[i].Class, true
@@ -104,14 +104,14 @@
 )
 
 // comeBack returns the time after which a refused request should be tried again: within its
-// objective if its class is expected to have room by then, otherwise once its class of late
+// objective if its rank is expected to have room by then, otherwise once that of late
 // requests is. Callers are spread, so that they do not come back at once.
-func comeBack(q Ask, shares []ClassShare, own ClassShare, draw float64) time.Duration {
+func comeBack(q Ask, shares []RankShare, own RankShare, draw float64) time.Duration {
 	due := q.Timing.Due() - answerMargin
 	if !q.Timing.Late() && own.Wait <= due {
 		return own.Wait + time.Duration(draw*float64(due-own.Wait))
 	}
-	late := shareOf(shares, urgency.Urgency{Level: q.Level, Late: true}.Class())
+	late := shareOf(shares, rankOf(urgency.Urgency{Level: q.Level, Late: true}, q.Cost))
 	after := time.Duration((1 + draw) * float64(max(own.Wait, late.Wait)))
 	latest := time.Duration(comebackShare * float64(q.Timing.Remaining()))
 	if after > latest {
--- a/internal/core/allowance/order_test.go
+++ b/internal/core/allowance/order_test.go
@@ -22,12 +22,21 @@
 	limit     time.Duration
 	perSecond float64 // of a customer as usual
 	cost      float64
+	spread    bool // costs are spread from about a quarter to four times that
+}
+
+// drawCost draws the cost of a request.
+func (k kind) drawCost(r *rand.Rand) float64 {
+	if !k.spread {
+		return k.cost
+	}
+	return k.cost * min(math.Exp(0.8*r.NormFloat64()-0.32), 6)
 }
 
 var (
-	alert  = kind{0, 500 * time.Millisecond, 12 * time.Second, 6.5, 1100}
-	note   = kind{1, 600 * time.Millisecond, 3 * time.Second, 1.5, 2400}
-	digest = kind{2, 4 * time.Second, 20 * time.Second, 1.5, 1100}
+	alert  = kind{0, 500 * time.Millisecond, 12 * time.Second, 6.5, 1100, false}
+	note   = kind{1, 600 * time.Millisecond, 3 * time.Second, 1.5, 2400, false}
+	digest = kind{2, 4 * time.Second, 20 * time.Second, 1.5, 1100, false}
 	kinds  = []kind{alert, note, digest}
 )
 
@@ -59,6 +68,7 @@
 type comer struct {
 	customer ident.Customer
 	kind     kind
+	cost     float64
 	first    int // ms of its first try
 }
 
@@ -104,7 +114,7 @@
 		for i := range modelCustomers {
 			for _, k := range w.kinds {
 				if w.r.Float64() < k.perSecond*max(w.hot[name(i)], 1)/1000 {
-					w.send(comer{name(i), k, w.ms})
+					w.send(comer{name(i), k, k.drawCost(w.r), w.ms})
 				}
 			}
 		}
@@ -131,7 +141,7 @@
 		c.kind.level = l
 	}
 	left := c.kind.limit - at(w.ms).Sub(at(c.first))
-	q := Ask{Cost: c.kind.cost, Ordered: i >= w.old, Level: c.kind.level, Timing: urgency.Timing{Limit: c.kind.limit, Objective: c.kind.objective, Left: left}}
+	q := Ask{Cost: c.cost, Ordered: i >= w.old, Level: c.kind.level, Timing: urgency.Timing{Limit: c.kind.limit, Objective: c.kind.objective, Left: left}}
 	d := w.entries[i].client.Decide(at(w.ms), c.customer, w.limit, q)
 	g := w.of(c.customer, c.kind.level)
 	if c.first == w.ms {
@@ -149,7 +159,7 @@
 		w.comers[back] = append(w.comers[back], c)
 	}
 	if d.Admitted {
-		w.used[c.customer] += c.kind.cost
+		w.used[c.customer] += c.cost
 	} else {
 		g.refusals++
 	}
@@ -379,9 +389,9 @@
 func TestTimeToComeBack(t *testing.T) {
 	is := is.New(t)
 	told := func(k kind, left, wait, lateWait time.Duration, draw float64) time.Duration {
-		shares := []ClassShare{{urgency.Urgency{Level: k.level}.Class(), 0.1, wait}, {urgency.Urgency{Level: k.level, Late: true}.Class(), 0.1, lateWait}}
-		q := Ask{Ordered: true, Level: k.level, Timing: urgency.Timing{Limit: k.limit, Objective: k.objective, Left: left}}
-		return comeBack(q, shares, shareOf(shares, q.class()), draw)
+		shares := []RankShare{{rankOf(urgency.Urgency{Level: k.level}, 1), 0.1, wait}, {rankOf(urgency.Urgency{Level: k.level, Late: true}, 1), 0.1, lateWait}}
+		q := Ask{Cost: 1, Ordered: true, Level: k.level, Timing: urgency.Timing{Limit: k.limit, Objective: k.objective, Left: left}}
+		return comeBack(q, shares, shareOf(shares, q.rank()), draw)
 	}
 	const ms = time.Millisecond
 	is.Equal(told(alert, alert.limit, 200*ms, 3000*ms, 0), 200*ms)    // room is foreseen in time
@@ -395,9 +405,9 @@
 }
 
 // Guards against schedules of joins, partitions, kills, lost answers, new leaders and entries of an
-// earlier release in which the classes together spend more than one chance for all would, or lose
+// earlier release in which the ranks together spend more than one chance for all would, or lose
 // units.
-func TestRandomSchedulesOfClassesKeepToTheAllowance(t *testing.T) {
+func TestRandomSchedulesOfRanksKeepToTheAllowance(t *testing.T) {
 	const runs, shards, steps = 4000, 8, 600
 	for shard := range uint64(shards) {
 		t.Run(fmt.Sprint(shard), func(t *testing.T) {
@@ -417,3 +427,27 @@
 		})
 	}
 }
+
+// Guards against a few large requests that use what many small ones of the same urgency could have used.
+func TestOfEquallyUrgentRequestsThoseThatUseLeastGoFirst(t *testing.T) {
+	is := is.New(t)
+	spread := alert
+	spread.spread = true
+	plain, ordered := newCallers(7, []kind{spread}), newCallers(7, []kind{spread})
+	plain.old = modelEntries
+	hotPlay(plain, 6, hotTime)
+	hotPlay(ordered, 6, hotTime)
+	is.True(ordered.sum(0, 1)[0].served() > plain.sum(0, 1)[0].served()+0.15)
+	is.True(ordered.used[name(0)] <= ordered.bound(6, hotTime))
+	is.True(ordered.used[name(0)] >= 0.9*plain.used[name(0)])
+	c, large := newClient(1), 0
+	c.Decide(at(0), "a", limitOf(1000, 1000), Ask{Cost: 4000, Ordered: true, Timing: urgency.Timing{Limit: alert.limit}})
+	c.Report(at(0))
+	c.Answered(at(0), []Share{{Customer: "a", Chance: 0.5, Ranks: []RankShare{{Rank{0, 12}, floorShare / 2, time.Second}}}})
+	for range 1000 { // they have a floor, too
+		if c.Decide(at(1), "a", limitOf(1000, 1000), Ask{Cost: 4097, Ordered: true, Timing: urgency.Timing{Limit: alert.limit}}).Admitted {
+			large++
+		}
+	}
+	is.True(large > 20 && large < 100)
+}
--- a/internal/core/allowance/types.go
+++ b/internal/core/allowance/types.go
@@ -46,7 +46,7 @@
 	Requested  float64        `json:"a,omitempty"` // units
 	Used       float64        `json:"u,omitempty"` // units; negative if more was refunded
 	LongDemand float64        `json:"d,omitempty"` // units a second asked for, averaged over longDemandDecay
-	Classes    []ClassUse     `json:"k,omitempty"` // by urgency, if the customer's more urgent requests go first
+	Ranks      []RankUse      `json:"k,omitempty"` // by urgency, if the customer's more urgent requests go first
 }
 
 // Share is the leader's answer to a Use.
@@ -57,7 +57,7 @@
 	FallbackBurst float64        `json:"b,omitempty"` // units that may be spent at once in addition to Fallback
 	Pressure      float64        `json:"p,omitempty"` // demand at all entries, as a share of the rate
 	// Classes are in the order of urgency, for an entry that reported some.
-	Classes []ClassShare `json:"k,omitempty"`
+	Ranks []RankShare `json:"k,omitempty"`
 }
 
 // ReportInterval is the time between two reports of an entry that receives requests.
