retry budget: its last quarter for the most urgent requests of a service

A retry of a request that can no longer meet its objective, or that is less urgent than others of its service, leaves a quarter of the slack. A stream that began in time counts as in time. Where all kinds of a service are equally urgent nothing is kept for a level, and without the feature nothing at all.

--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -215,8 +215,9 @@
 // crash at once, hundreds of requests are refused because dials to dead endpoints have
 // used up the budget.
 func (x *exchange) takeRetry() bool {
-	allowed := x.g.budget(x.service, func(b *limit.Shared) bool { return b.Retry(rand.Float64()) })
+	allowed := x.g.budget(x.service, func(b *limit.Shared) bool { return b.RetryKeeping(x.retriesKept(), rand.Float64()) })
 	x.g.metrics.countRetry(allowed)
+	x.recordRetry(allowed)
 	return allowed
 }
 
--- a/internal/app/gateway/urgency.go
+++ b/internal/app/gateway/urgency.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/cassiapass/cassiapass/internal/core/allowance"
 	"github.com/cassiapass/cassiapass/internal/core/feature"
@@ -32,6 +33,54 @@
 	return allowance.Ask{Cost: x.cost, Ordered: x.ordered, Level: x.level, Timing: x.timing()}
 }
 
+// urgentRetryShare is the part of the slack of a service's retry budget that is kept for the most
+// urgent requests. The rest is enough for the retries of an outage of single endpoints.
+const urgentRetryShare = 0.25
+
+// retriesKept returns the part of the slack of the retry budget that the request must leave for more
+// urgent ones of its service: nothing if it can still meet its objective and none is more urgent.
+func (x *exchange) retriesKept() float64 {
+	if !x.ordered || x.now().Compare(x.mostUrgent()) <= 0 {
+		return 0
+	}
+	return urgentRetryShare
+}
+
+// now returns how urgent the request is by now. A stream that has begun met its objective or missed it
+// with its first event.
+func (x *exchange) now() urgency.Urgency {
+	t, passed := x.timing(), time.Since(x.arrived)
+	if x.headSent {
+		passed = x.firstByte
+	}
+	t.Left = max(t.Remaining()-passed, 1)
+	return urgency.Of(x.level, t)
+}
+
+// mostUrgent returns the urgency of the most urgent routes to the request's service.
+func (x *exchange) mostUrgent() urgency.Urgency {
+	out := urgency.Urgency{Level: x.level}
+	routes := x.g.table.Load().Config().Routes
+	for i := range routes {
+		if u := (urgency.Urgency{Level: urgency.LevelOf(routes[i].Priority)}); routes[i].LeadsTo(x.service) && u.Compare(out) < 0 {
+			out = u
+		}
+	}
+	return out
+}
+
+// recordRetry counts a retry, and logs to whom a refused one gave way.
+func (x *exchange) recordRetry(allowed bool) {
+	if !x.ordered {
+		return
+	}
+	u, first := x.now(), x.mostUrgent()
+	x.g.metrics.countByUrgency("retry_budget", u, allowed)
+	if !allowed && u.Compare(first) > 0 {
+		x.logGaveWay("retry_budget", u, first)
+	}
+}
+
 // recordOrder counts what a customer's allowance held for a request of its level, and logs to whom a
 // refused one gave way.
 func (x *exchange) recordOrder(q allowance.Ask) {
--- a/internal/app/gateway/urgency_test.go
+++ b/internal/app/gateway/urgency_test.go
@@ -84,3 +84,35 @@
 	is.True(served["/safe/x"] > 2*served["/once/x"])
 	is.True(served["/safe/x"]+served["/once/x"] < 50+int(50*allowance.ReportInterval.Seconds())+20)
 }
+
+// Guards against retries that leave nothing for more urgent ones, and against a reserve where no request
+// is more urgent.
+func TestRetriesKeptForMoreUrgentRequests(t *testing.T) {
+	g := startGateway(t)
+	dep := testDeployment()
+	for i := range dep.Routes {
+		dep.Routes[i].Priority, dep.Routes[i].Objective = 1+i%2, 100*time.Millisecond
+	}
+	g.activate(dep)
+	for _, c := range []struct {
+		name    string
+		ordered bool
+		service string
+		level   urgency.Level
+		age     time.Duration
+		begun   bool // its first event came at once
+		want    float64
+	}{
+		{"most urgent", true, "s", 1, 0, false, 0},
+		{"less urgent", true, "s", 2, 0, false, urgentRetryShare},
+		{"late", true, "s", 1, time.Second, false, urgentRetryShare},
+		{"after its limit", true, "s", 1, time.Hour, false, urgentRetryShare},
+		{"begun in time", true, "s", 1, time.Second, true, 0},
+		{"all equal there", true, "other", 2, 0, false, 0},
+		{"not ordered", false, "s", 2, 0, false, 0},
+	} {
+		is := is.New(t)
+		x := &exchange{g: g, route: &dep.Routes[0], service: c.service, ordered: c.ordered, level: c.level, arrived: time.Now().Add(-c.age), headSent: c.begun}
+		is.Equal(x.retriesKept(), c.want) // c.name
+	}
+}
--- a/internal/core/deploy/deploy.go
+++ b/internal/core/deploy/deploy.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/core/customer"
@@ -52,6 +53,11 @@
 	return r.Repeat == Safe || (r.Repeat == Stream && r.Resumable)
 }
 
+// LeadsTo reports whether requests of the route go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service })
+}
+
 // Backend is one service of a route with its share of the requests.
 type Backend struct {
 	Service string
--- a/internal/core/limit/shared.go
+++ b/internal/core/limit/shared.go
@@ -52,11 +52,17 @@
 // average no more is used than was available. Without this, processes could never
 // retry if they are more than the arrivals in the slack, so that each part is below
 // one.
-func (s *Shared) Retry(draw float64) bool {
-	if s.tokens < 1 {
-		allowed := draw < s.tokens
-		s.tokens = 0
-		return allowed
+func (s *Shared) Retry(draw float64) bool { return s.RetryKeeping(0, draw) }
+
+// RetryKeeping takes one extra arrival as Retry does, but leaves a part of the slack for others: share
+// is from 0 to 1. Less urgent requests keep some, so that those of a moment do not use up what urgent
+// ones need next.
+func (s *Shared) RetryKeeping(share, draw float64) bool {
+	keep := share * s.burst()
+	left := max(s.tokens-keep, 0)
+	if left < 1 {
+		s.tokens -= left
+		return draw < left
 	}
 	s.tokens--
 	return true
--- a/internal/core/limit/shared_test.go
+++ b/internal/core/limit/shared_test.go
@@ -68,3 +68,23 @@
 	}
 	is.True(float64(total)/rounds > 0.5*slack) // the budget can be used
 }
+
+// Guards against less urgent retries that use up what urgent ones need, and against a reserve that
+// urgent ones cannot use.
+func TestPartOfTheSlackIsKept(t *testing.T) {
+	is := is.New(t)
+	s := NewShared(0.2, 100)
+	s.SetProcesses(10) // 8 at once
+	taken := 0
+	for s.RetryKeeping(0.25, 0.5) {
+		taken++
+	}
+	is.Equal(taken, 6)
+	is.Equal(s.Left(), 2.0)
+	is.True(!s.RetryKeeping(0.25, 0))
+	is.Equal(s.Left(), 2.0)
+	for s.Retry(0.5) {
+		taken++
+	}
+	is.Equal(taken, 8)
+}
