--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -56,7 +56,7 @@
 	cc.AbortOn(ctx)
 	x.logSent(e, cc)
 	h := http1.EndToEnd(x.r.Header)
-	x.g.cfg.Dialect.WriteRequest(h, ForwardFields{TimeLeft: time.Until(x.deadline), Endpoint: e.Name(), Priority: x.requester.priority(x.route), LastEvent: x.lastEvent,
+	x.g.cfg.Dialect.WriteRequest(h, ForwardFields{TimeLeft: time.Until(x.deadline), Endpoint: e.Name(), Priority: int(x.requester.level(x.route)), LastEvent: x.lastEvent,
 		Authenticated: x.requester.keyed, Customer: x.requester.customerName()})
 	sent := time.Now()
 	x.sentAt, x.firstEventAt = sent, time.Time{}
--- a/internal/app/gateway/demand.go
+++ b/internal/app/gateway/demand.go
@@ -23,6 +23,33 @@
 	byLevel  map[urgency.Level]int   // arrived, if more urgent requests go first
 	deferred int                     // refused with the time at which the model will be held
 	since    map[*exchange]time.Time // when each waiting request began to wait
+	waiting  map[urgency.Level]*waitingLevel
+}
+
+// waitingLevel counts the waiting requests of a level.
+type waitingLevel struct {
+	n           int
+	inTimeUntil time.Time // when the last of them cannot meet its objective any more
+}
+
+func (x *wantDemand) begin(ex *exchange, now time.Time) {
+	x.since[ex] = now
+	l := x.waiting[ex.level]
+	if l == nil {
+		l = &waitingLevel{}
+		x.waiting[ex.level] = l
+	}
+	l.n++
+	l.inTimeUntil = later(l.inTimeUntil, ex.arrived.Add(ex.timing().Due()))
+}
+
+func (x *wantDemand) end(ex *exchange) {
+	delete(x.since, ex)
+	if l := x.waiting[ex.level]; l != nil {
+		if l.n--; l.n <= 0 {
+			delete(x.waiting, ex.level)
+		}
+	}
 }
 
 func newDemands() *demands {
@@ -32,7 +59,7 @@
 func (d *demands) forWant(w fleet.Want) *wantDemand {
 	x, ok := d.byWant[w]
 	if !ok {
-		x = &wantDemand{byLevel: map[urgency.Level]int{}, since: map[*exchange]time.Time{}}
+		x = &wantDemand{byLevel: map[urgency.Level]int{}, since: map[*exchange]time.Time{}, waiting: map[urgency.Level]*waitingLevel{}}
 		d.byWant[w] = x
 	}
 	return x
@@ -58,7 +85,7 @@
 		return
 	}
 	d.mu.Lock()
-	d.forWant(w).since[x] = time.Now()
+	d.forWant(w).begin(x, time.Now())
 	d.mu.Unlock()
 	select {
 	case d.urgent <- struct{}{}:
@@ -73,7 +100,23 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.forWant(w).since, x)
+	d.forWant(w).end(x)
+}
+
+// moreUrgentWaits reports whether a request that goes first waits for the same as one of an urgency.
+func (d *demands) moreUrgentWaits(now time.Time, w fleet.Want, own urgency.Urgency) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	x := d.byWant[w]
+	if x == nil {
+		return false
+	}
+	for l, waiting := range x.waiting {
+		if (urgency.Urgency{Level: l, Late: now.After(waiting.inTimeUntil)}).Compare(own) < 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // recordDeferred records that a request was refused until its model is held.
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -263,16 +263,17 @@
 
 // acquire waits for an endpoint that can take the request now; nil if there is none
 // in time.
-func (x *exchange) acquire(ctx context.Context) *endpoint {
+func (x *exchange) acquire(ctx context.Context) (got *endpoint) {
 	begin := time.Now()
 	maxWait := x.maxWait(begin)
 	waits := false
-	w := &allowance.Waiter{Priority: x.requester.priority(x.route), Since: x.arrived}
+	w := &allowance.Waiter{Priority: int(x.requester.level(x.route)), Since: x.arrived}
 	x.waiter = w
 	defer func() {
 		x.g.dir.endWait(w)
 		if waits {
 			x.g.demands.endWait(x.info.Want, x)
+			x.recordWait(got)
 			x.waited += time.Since(begin)
 		}
 	}()
@@ -332,6 +333,7 @@
 		}
 		select {
 		case <-short.changed:
+			x.yield(ctx)
 		case <-timer.C:
 			if time.Since(begin) >= maxWait {
 				return nil
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -158,6 +158,7 @@
 	g.revocations.cancelRevoked(cfg.Customers)
 	g.dir.wake() // the key of a waiting request may have been revoked
 	g.cfg.Log.Info().Uint64("version", d.Version).Int("routes", len(cfg.Routes)).Msg("deployment_in_force")
+	g.logUnusualPriorities(cfg)
 }
 
 // limits returns the limits for callers' requests and connections.
--- a/internal/app/gateway/urgency.go
+++ b/internal/app/gateway/urgency.go
@@ -1,14 +1,32 @@
 package gateway
 
 import (
+	"context"
 	"strconv"
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/core/allowance"
+	"github.com/cassiapass/cassiapass/internal/core/customer"
+	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/feature"
 	"github.com/cassiapass/cassiapass/internal/core/urgency"
 )
 
+// logUnusualPriorities logs the priorities of a deployment that are taken for another.
+func (g *Gateway) logUnusualPriorities(c *deploy.Config) {
+	log := func(kind, name string, priority int) {
+		if l := urgency.LevelOf(priority); int(l) != priority {
+			g.cfg.Log.Warn().Uint64("version", c.Version).Str(kind, name).Int("priority", priority).Int("level", int(l)).Msg("priority_out_of_range")
+		}
+	}
+	for i := range c.Routes {
+		log("route", c.Routes[i].Name, c.Routes[i].Priority)
+	}
+	if c.Customers != nil {
+		c.Customers.All(func(u *customer.Customer) { log("customer", string(u.Name), u.Priority) })
+	}
+}
+
 // timing returns what is known of the caller's time at the request's arrival.
 func (x *exchange) timing() urgency.Timing {
 	return urgency.Timing{Limit: x.route.Timeout, Objective: x.route.Objective, Left: x.info.TimeLeft}
@@ -49,11 +67,16 @@
 // now returns how urgent the request is by now. A stream that has begun met its objective or missed it
 // with its first event.
 func (x *exchange) now() urgency.Urgency {
-	t, passed := x.timing(), time.Since(x.arrived)
 	if x.headSent {
-		passed = x.firstByte
+		return x.urgencyAt(x.arrived.Add(x.firstByte))
 	}
-	t.Left = max(t.Remaining()-passed, 1)
+	return x.urgencyAt(time.Now())
+}
+
+// urgencyAt returns how urgent the request is at a time, if it is not answered before.
+func (x *exchange) urgencyAt(now time.Time) urgency.Urgency {
+	t := x.timing()
+	t.Left = max(t.Remaining()-now.Sub(x.arrived), 1)
 	return urgency.Of(x.level, t)
 }
 
@@ -69,6 +92,31 @@
 	return out
 }
 
+// yieldTime is how long a waiting request leaves a place that became free to more urgent ones: all
+// requests that wait are woken together and look within some ms. It is not longer, since a more urgent
+// one may wait for something else, such as an endpoint that it has not tried.
+const yieldTime = 3 * time.Millisecond
+
+// yield lets more urgent requests that wait for the same look first.
+func (x *exchange) yield(ctx context.Context) {
+	if !x.ordered || !x.g.demands.moreUrgentWaits(time.Now(), x.info.Want, x.urgencyAt(time.Now())) {
+		return
+	}
+	timer := time.NewTimer(yieldTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// recordWait counts a request that waited for an endpoint; e is nil if it got none.
+func (x *exchange) recordWait(e *endpoint) {
+	if x.ordered {
+		x.g.metrics.countByUrgency("endpoint", x.urgencyAt(time.Now()), e != nil)
+	}
+}
+
 // recordRetry counts a retry, and logs to whom a refused one gave way.
 func (x *exchange) recordRetry(allowed bool) {
 	if !x.ordered {
--- a/internal/app/gateway/urgency_test.go
+++ b/internal/app/gateway/urgency_test.go
@@ -1,6 +1,11 @@
 package gateway
 
 import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +15,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/customer"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/feature"
+	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/urgency"
 )
 
@@ -116,3 +122,38 @@
 		is.Equal(x.retriesKept(), c.want) // c.name
 	}
 }
+
+// Guards against waiting requests that take a free place before a more urgent one that came later.
+func TestMostUrgentWaitingRequestGetsTheFreePlace(t *testing.T) {
+	is := is.New(t)
+	b := newFakeEndpoint(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		time.Sleep(200 * time.Millisecond)
+		return reply(c, r, 200, "done")
+	})
+	g := startGateway(t)
+	g.cfg.Pressure = true
+	dep := testDeployment()
+	for i := range dep.Routes {
+		dep.Routes[i].Priority, dep.Routes[i].Objective, dep.Routes[i].Timeout = i, 10*time.Second, 20*time.Second // once, then safe
+	}
+	g.activate(dep)
+	g.dir.replace(1, 2, []fleet.Endpoint{{ID: "e0", Service: "s", Addr: b.l.Addr().String(), Zone: "a", Slots: 1, Held: []fleet.Held{{Model: "m"}}}})
+	var sent []*caller
+	send := func(path, id string) {
+		c := dial(t, g)
+		c.send("GET", path, id, "", "Model: m")
+		sent = append(sent, c)
+		time.Sleep(5 * time.Millisecond)
+	}
+	for i := range 10 { // two run, eight wait
+		send("/safe/x", fmt.Sprint("s", i))
+	}
+	send("/once/x", "urgent")
+	for _, c := range sent {
+		is.Equal(c.receive().status, 200)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := slices.IndexFunc(b.seen, func(r *http.Request) bool { return r.Header.Get("Id") == "urgent" })
+	is.True(at >= 2 && at <= 3)
+}
