allowances: callers are told to come back after at least 3 s where their rank has hardly any room

Most who were told less were refused again, which is the end for callers that try twice. A rank whose demand fits the rate is told the time in which a debt is paid.

--- a/internal/core/allowance/order_test.go
+++ b/internal/core/allowance/order_test.go
@@ -451,3 +451,20 @@
 	}
 	is.True(large > 20 && large < 100)
 }
+
+// Guards against callers that are sent away for long though their rank has room once a debt is paid, and
+// against callers that are told a time at which they are refused again.
+func TestWaitForRoom(t *testing.T) {
+	is := is.New(t)
+	d := &rankDemand{}
+	b := &bucket{fill: 100, level: -50}
+	is.Equal(d.waitFor(at(0), 1, 300, b), time.Duration(0))
+	is.Equal(d.waitFor(at(0), 0, 80, b), 500*time.Millisecond+2*ReportInterval) // its demand fits the rate
+	b.level = 0
+	is.Equal(d.waitFor(at(0), 0.8, 300, b), ReportInterval*10/8)
+	is.Equal(d.waitFor(at(0), 0.1, 300, b), shortestExcess)
+	is.Equal(d.waitFor(at(5000), 0.1, 300, b), 5*time.Second) // as long as it has lasted
+	is.Equal(d.waitFor(at(50000), 0.1, 300, b), longestExcess)
+	is.Equal(d.waitFor(at(50000), 0.9, 300, b), ReportInterval*10/9)
+	is.Equal(d.waitFor(at(50001), 0.1, 300, b), shortestExcess) // a new excess
+}
--- a/internal/core/allowance/ranks.go
+++ b/internal/core/allowance/ranks.go
@@ -122,27 +122,30 @@
 	// likelyChance is the chance from which a request that comes back is more likely admitted than
 	// not.
 	likelyChance = 0.5
-	// longestWait bounds the time after which a rank is said to have room: demand beyond an
-	// allowance comes and goes within some such time, and nobody knows when it ends.
-	longestWait = 10 * time.Second
+	// shortestExcess and longestExcess bound the time for which a customer is expected to stay over
+	// its allowance. Nobody knows when that ends. Callers that are told less mostly come back to be
+	// refused again; those that are told more leave room unused.
+	shortestExcess = 3 * time.Second
+	longestExcess  = 10 * time.Second
 )
 
 // waitFor returns the time until a rank can be expected to have room, from its chance and from the
-// demand of it and of the earlier ranks, in units a second. While a rank has hardly any room
-// the best estimate of how long that will last is how long it has lasted.
-func (d *rankDemand) waitFor(now time.Time, chance, upTo, fill float64) time.Duration {
+// demand of it and of the earlier ranks, in units a second. While a rank has hardly any room the best
+// estimate of how long that will last is how long it has lasted.
+func (d *rankDemand) waitFor(now time.Time, chance, upTo float64, b *bucket) time.Duration {
 	switch {
 	case chance >= 1:
 		d.since = time.Time{}
 		return 0
-	case chance >= likelyChance:
+	case chance >= likelyChance, upTo <= b.fill:
 		d.since = time.Time{}
-		return time.Duration(float64(ReportInterval) / chance)
+		debt := max(-b.level, 0) / b.fill
+		return time.Duration(debt*float64(time.Second)) + time.Duration(float64(ReportInterval)/max(chance, likelyChance))
 	case d.since.IsZero():
 		d.since = now
 	}
-	wait := time.Duration(min(upTo/fill, maxPressure) * float64(retryAfter))
-	return min(max(wait, now.Sub(d.since)), longestWait)
+	wait := time.Duration(min(upTo/b.fill, maxPressure) * float64(retryAfter))
+	return min(max(wait, now.Sub(d.since), shortestExcess), longestExcess)
 }
 
 // addRanks records the demand that an entry reported by rank.
@@ -178,7 +181,7 @@
 	upTo := other * scale
 	for i, d := range a.ranks {
 		upTo += demands[i]
-		s := RankShare{Rank: d.rank, Chance: chances[i], Wait: d.waitFor(now, chances[i], upTo, a.fill)}
+		s := RankShare{Rank: d.rank, Chance: chances[i], Wait: d.waitFor(now, chances[i], upTo, &a.bucket)}
 		if s.Chance < 1 || i == 0 || d.rank.Class != a.ranks[i-1].rank.Class {
 			out = append(out, s)
 		}
