allowances: requests that come back in time before first tries of their level

Many callers try twice, so a repeat that is refused is lost and a first try is not. Late repeats stay behind all that can be in time.

--- a/internal/core/allowance/order.go
+++ b/internal/core/allowance/order.go
@@ -17,7 +17,7 @@
 }
 
 // rank returns the request's place among those of its customer.
-func (q Ask) rank() Rank { return rankOf(urgency.Of(q.Level, q.Timing), q.Cost) }
+func (q Ask) rank() Rank { return rankOf(q.Level, q.Timing, q.Cost) }
 
 // localRanks is the demand for one customer by rank at one entry.
 type localRanks struct {
@@ -111,7 +111,7 @@
 	if !q.Timing.Late() && own.Wait <= due {
 		return own.Wait + time.Duration(draw*float64(due-own.Wait))
 	}
-	late := shareOf(shares, rankOf(urgency.Urgency{Level: q.Level, Late: true}, q.Cost))
+	late := shareOf(shares, Rank{Class: urgency.Urgency{Level: q.Level, Late: true}.Class(), Size: own.Size})
 	after := time.Duration((1 + draw) * float64(max(own.Wait, late.Wait)))
 	latest := time.Duration(comebackShare * float64(q.Timing.Remaining()))
 	if after > latest {
--- a/internal/core/allowance/order_test.go
+++ b/internal/core/allowance/order_test.go
@@ -389,7 +389,7 @@
 func TestTimeToComeBack(t *testing.T) {
 	is := is.New(t)
 	told := func(k kind, left, wait, lateWait time.Duration, draw float64) time.Duration {
-		shares := []RankShare{{rankOf(urgency.Urgency{Level: k.level}, 1), 0.1, wait}, {rankOf(urgency.Urgency{Level: k.level, Late: true}, 1), 0.1, lateWait}}
+		shares := []RankShare{{Rank{Class: urgency.Urgency{Level: k.level}.Class()}, 0.1, wait}, {Rank{Class: urgency.Urgency{Level: k.level, Late: true}.Class()}, 0.1, lateWait}}
 		q := Ask{Cost: 1, Ordered: true, Level: k.level, Timing: urgency.Timing{Limit: k.limit, Objective: k.objective, Left: left}}
 		return comeBack(q, shares, shareOf(shares, q.rank()), draw)
 	}
@@ -443,7 +443,7 @@
 	c, large := newClient(1), 0
 	c.Decide(at(0), "a", limitOf(1000, 1000), Ask{Cost: 4000, Ordered: true, Timing: urgency.Timing{Limit: alert.limit}})
 	c.Report(at(0))
-	c.Answered(at(0), []Share{{Customer: "a", Chance: 0.5, Ranks: []RankShare{{Rank{0, 12}, floorShare / 2, time.Second}}}})
+	c.Answered(at(0), []Share{{Customer: "a", Chance: 0.5, Ranks: []RankShare{{Rank{Size: 12}, floorShare / 2, time.Second}}}})
 	for range 1000 { // they have a floor, too
 		if c.Decide(at(1), "a", limitOf(1000, 1000), Ask{Cost: 4097, Ordered: true, Timing: urgency.Timing{Limit: alert.limit}}).Admitted {
 			large++
@@ -468,3 +468,26 @@
 	is.Equal(d.waitFor(at(50000), 0.9, 300, b), ReportInterval*10/9)
 	is.Equal(d.waitFor(at(50001), 0.1, 300, b), shortestExcess) // a new excess
 }
+
+// Guards against an order that puts a late repeat before fresh requests, or a fresh one before a repeat
+// that can still be in time.
+func TestOrderOfRanks(t *testing.T) {
+	is := is.New(t)
+	rank := func(k kind, age time.Duration, cost float64) Rank {
+		return rankOf(k.level, urgency.Timing{Limit: k.limit, Objective: k.objective, Left: k.limit - age}, cost)
+	}
+	inOrder := []Rank{
+		rank(alert, 300*time.Millisecond, 4000), // comes back
+		rank(alert, 20*time.Millisecond, 100),   // the first try, delayed
+		rank(alert, 0, 1000),
+		rank(digest, 3*time.Second, 1000),
+		rank(digest, 0, 0),
+		rank(digest, 0, 1000),
+		rank(alert, time.Second, 100), // late
+		rank(alert, 5*time.Second, 1000),
+		rank(digest, 5*time.Second, 100),
+	}
+	for i := range inOrder[1:] {
+		is.True(inOrder[i].compare(inOrder[i+1]) < 0) // i
+	}
+}
--- a/internal/core/allowance/ranks.go
+++ b/internal/core/allowance/ranks.go
@@ -24,20 +24,37 @@
 // answered, and its callers learn when there is room again.
 const floorShare = 0.1
 
-// Rank is the place of a request among those of its customer: by urgency, and of equally urgent ones
-// those first that use least, since the same units then answer more of them.
+// Rank is the place of a request among those of its customer: by urgency; of equally urgent ones first
+// those that were told to come back, since many callers do so only once; then those that use least,
+// since the same units answer more of them.
 type Rank struct {
-	Class urgency.Class `json:"k"`
-	Size  uint8         `json:"s,omitempty"` // the binary logarithm of the cost
+	Class  urgency.Class `json:"k"`
+	Repeat bool          `json:"r,omitempty"` // the caller has tried before, and can still be answered in time
+	Size   uint8         `json:"s,omitempty"` // the binary logarithm of the cost
 }
 
+// repeatAge is how long ago a caller must have tried first to count as one that comes back. None is
+// told to do so sooner than after ReportInterval, and callers' clocks and links vary by less.
+const repeatAge = ReportInterval / 2
+
 // rankOf returns the rank of a request.
-func rankOf(u urgency.Urgency, cost float64) Rank {
-	return Rank{Class: u.Class(), Size: uint8(max(math.Ilogb(max(cost, 1)), 0))}
+func rankOf(l urgency.Level, t urgency.Timing, cost float64) Rank {
+	u := urgency.Of(l, t)
+	return Rank{Class: u.Class(), Repeat: !u.Late && t.Age() >= repeatAge, Size: uint8(max(math.Ilogb(max(cost, 1)), 0))}
 }
 
 func (r Rank) compare(o Rank) int {
-	return cmp.Or(cmp.Compare(r.Class, o.Class), cmp.Compare(r.Size, o.Size))
+	return cmp.Or(cmp.Compare(r.Class, o.Class), -compareBools(r.Repeat, o.Repeat), cmp.Compare(r.Size, o.Size))
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
 }
 
 // RankUse is an entry's demand in one rank, a part of Use.Requested.
@@ -97,7 +114,7 @@
 
 // of returns the demand of a rank, which is created if needed.
 func (l *rankDemands) of(r Rank) *rankDemand {
-	r = Rank{r.Class.Urgency().Class(), min(r.Size, maxSize)}
+	r.Class, r.Size = r.Class.Urgency().Class(), min(r.Size, maxSize)
 	i, found := slices.BinarySearchFunc(*l, r, func(d *rankDemand, r Rank) int { return d.rank.compare(r) })
 	if !found {
 		*l = slices.Insert(*l, i, &rankDemand{rank: r})
