--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/limit"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/release"
+	"github.com/cassiapass/cassiapass/internal/core/urgency"
 )
 
 // errCallerGone is the cancellation cause when the caller closed its connection.
@@ -41,6 +42,8 @@
 	info      RequestFields
 	route     *deploy.Route
 	requester requester
+	ordered   bool               // more urgent requests go first
+	level     urgency.Level      // how urgent it is
 	cost      float64            // units taken from the customer's allowance
 	decision  allowance.Decision // on that cost
 	service   string
@@ -118,6 +121,7 @@
 	if st := x.standing(); st.Quarantined {
 		return x.refuse(http.StatusServiceUnavailable, "not_run")
 	}
+	x.setUrgency()
 	if !x.charge() {
 		return x.refuseOverAllowance()
 	}
@@ -134,7 +138,7 @@
 	defer abort(nil)
 	c.Watch(func() { abort(errCallerGone) })
 	defer g.revocations.track(x.requester, abort)()
-	g.demands.recordArrival(info.Want)
+	g.demands.recordArrival(info.Want, x.levelToReport())
 	g.budget(x.service, func(b *limit.Shared) bool { b.Request(); return true })
 	outcome := x.run(callerCtx)
 	c.Unwatch()
@@ -211,8 +215,9 @@
 // crash at once, hundreds of requests are refused because dials to dead endpoints have
 // used up the budget.
 func (x *exchange) takeRetry() bool {
-	allowed := x.g.budget(x.service, func(b *limit.Shared) bool { return b.Retry(rand.Float64()) })
+	allowed := x.g.budget(x.service, func(b *limit.Shared) bool { return b.RetryKeeping(x.retriesKept(), rand.Float64()) })
 	x.g.metrics.countRetry(allowed)
+	x.recordRetry(allowed)
 	return allowed
 }
 
@@ -258,16 +263,17 @@
 
 // acquire waits for an endpoint that can take the request now; nil if there is none
 // in time.
-func (x *exchange) acquire(ctx context.Context) *endpoint {
+func (x *exchange) acquire(ctx context.Context) (got *endpoint) {
 	begin := time.Now()
 	maxWait := x.maxWait(begin)
 	waits := false
-	w := &allowance.Waiter{Priority: x.requester.priority(x.route), Since: x.arrived}
+	w := &allowance.Waiter{Priority: int(x.requester.level(x.route)), Since: x.arrived}
 	x.waiter = w
 	defer func() {
 		x.g.dir.endWait(w)
 		if waits {
 			x.g.demands.endWait(x.info.Want, x)
+			x.recordWait(got)
 			x.waited += time.Since(begin)
 		}
 	}()
@@ -327,6 +333,7 @@
 		}
 		select {
 		case <-short.changed:
+			x.yield(ctx)
 		case <-timer.C:
 			if time.Since(begin) >= maxWait {
 				return nil
