pace, gateway: endpoints are chosen by expected finish where they differ in speed

Cause: every choice takes endpoints for equally fast.

core/pace learns from segments of streams how long an event takes at an endpoint relative to its peers for the same model (log time = model's part + endpoint's part, least squares), and calls an endpoint slow or fast only after a sequential test with an error rate of 0.001 over all endpoints; what is seen within a second counts as at most 1.5 independent observations, since a slow moment of a host slows all of its streams. What endpoints say of their own speed is no evidence. fleet.ChooseByFinish draws two by speed among those that are expected to meet the objective. The work of a request (prompt, output by its hint as corrected) is counted at the endpoint chosen.

Test: core/pace plays 300 entries before 3,000 equal engines and 33 before 56 with a third slow; core/fleet the choice; app/gateway what callers get.

Conclusion: off where no endpoint names its host's speed; then nothing is learned or changed.

--- a/internal/app/gateway/acquire.go
+++ b/internal/app/gateway/acquire.go
@@ -42,6 +42,7 @@
 	apart   bool // it goes where the fewest others run
 	bound   bool // to endpoints of a release
 	release release.Name
+	load    *requestLoad // nil unless endpoints are chosen by expected finish
 }
 
 // acquire picks an endpoint for a request and counts the request there. If there is none, it
@@ -58,7 +59,7 @@
 	}
 	var limited []*endpoint
 	for first := true; len(eps) > 0; first = false {
-		i := d.choose(now, eps)
+		i := d.choose(now, eps, q.load)
 		if q.apart {
 			i = leastLoaded(eps)
 		}
@@ -72,6 +73,7 @@
 		}
 		if d.limits.Take(now, id, w) {
 			d.countSend(e, q.want)
+			d.beginLoad(now, e, q.load)
 			d.signalPermits(now)
 			delete(d.waiters, w)
 			return e, shortage{}
@@ -148,7 +150,7 @@
 
 // choose returns the index of the endpoint to try first. One that has asked other entries for a
 // pause is tried after the others.
-func (d *directory) choose(now time.Time, eps []*endpoint) int {
+func (d *directory) choose(now time.Time, eps []*endpoint, l *requestLoad) int {
 	var preferred []int
 	for i, e := range eps {
 		if !d.notices.Advised(now, string(e.ID)) {
@@ -160,11 +162,15 @@
 			preferred = append(preferred, i)
 		}
 	}
-	cands := make([]fleet.Candidate, len(preferred))
+	cands := slices.Grow(d.paces.cands[:0], len(preferred))[:len(preferred)]
+	d.paces.cands = cands
 	for i, at := range preferred {
 		e := eps[at]
 		cands[i] = fleet.Candidate{Running: e.ownRunning + e.otherRunning, Slots: e.slots(), SameZone: e.Zone == d.zone, Failing: e.failureShareAt(now)}
 	}
+	if l != nil {
+		return preferred[d.chooseByFinish(now, eps, preferred, cands, l, rand.IntN)]
+	}
 	return preferred[fleet.Choose(cands, rand.IntN)]
 }
 
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -97,9 +97,13 @@
 // logSent logs where the request goes and the state that decided it.
 func (x *exchange) logSent(e *endpoint, cc *http1.ClientConn) {
 	s := x.g.dir.snapshot(e)
-	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Str("zone", string(e.Zone)).Int("send", x.sends).
+	ev := x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Str("zone", string(e.Zone)).Int("send", x.sends).
 		Int("mine", s.ownRunning).Int("others", s.otherRunning).Int("slots", s.slots).Float64("failing", s.failureShare).Uint64("directory", s.rev).Dur("list_age", s.listAge).
-		Dur("left", time.Until(x.deadline)).Bool("kept_connection", cc.Reused).Str("last_event", x.lastEvent).Msg("request_sent")
+		Dur("left", time.Until(x.deadline)).Bool("kept_connection", cc.Reused).Str("last_event", x.lastEvent)
+	if l := x.load; l != nil {
+		ev.Float64("pace", l.pace).Float64("evidence", l.evidence).Float64("factor", l.factor).Dur("expected_first", l.first).Dur("expected", l.finish)
+	}
+	ev.Msg("request_sent")
 }
 
 // receive reads the head of the answer to this request. Answers to other
@@ -196,6 +200,7 @@
 		return result{}, brokenError(err)
 	}
 	x.recordAnswer(end.proved(), resp.Status < http.StatusMultipleChoices)
+	x.recordPlain(e, resp.Status < http.StatusMultipleChoices)
 	resp.Release()
 	a := answer{resp.Status, resp.Header, body, end.verdict}
 	if resp.Status >= http.StatusInternalServerError && x.route.MayRepeat() {
--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -50,12 +50,13 @@
 	unreadableLogged map[unreadableLog]bool           // unreadable pauses and leavings that were logged
 	unreadable       map[fleet.EndpointID]string      // the last unreadable limit that an endpoint named
 	sharedHosts      bool                             // an endpoint reported how fast its host is at the moment
-	changed          chan struct{}                    // closed and replaced when a waiting request should look again
+	paces            paces
+	changed          chan struct{} // closed and replaced when a waiting request should look again
 }
 
 func newDirectory(zone ident.Zone, log zerolog.Logger) *directory {
 	return &directory{zone: zone, log: log, limits: allowance.NewPermitClient(rand.Uint64(), rand.Float64),
-		notices: notice.NewBook(rand.Float64), waiters: map[*allowance.Waiter]waitingFor{}, unreadableLogged: map[unreadableLog]bool{}, noticed: make(chan struct{}, 1), unreadable: map[fleet.EndpointID]string{}, byID: map[fleet.EndpointID]*endpoint{}, etas: map[string]time.Time{}, modelIdle: make(chan struct{}, 1), changed: make(chan struct{})}
+		notices: notice.NewBook(rand.Float64), waiters: map[*allowance.Waiter]waitingFor{}, unreadableLogged: map[unreadableLog]bool{}, noticed: make(chan struct{}, 1), unreadable: map[fleet.EndpointID]string{}, byID: map[fleet.EndpointID]*endpoint{}, etas: map[string]time.Time{}, modelIdle: make(chan struct{}, 1), paces: newPaces(), changed: make(chan struct{})}
 }
 
 // wakeLocked makes waiting requests look again. The caller holds mu.
@@ -193,6 +194,7 @@
 	delete(d.unreadableLogged, unreadableLog{e.ID, eventLeavingUnreadable})
 	d.metrics.dropEndpoint(e.ID)
 	d.limits.Forget(string(e.ID))
+	d.paces.forget(e.ID)
 }
 
 // logEvent logs a change in what this entry knows about an endpoint.
@@ -410,6 +412,7 @@
 	defer d.mu.Unlock()
 	e.otherRunning = max(0, v.Running+v.Waiting-e.ownRunning)
 	d.sharedHosts = d.sharedHosts || v.Slowness > 0
+	e.momentary = momentary{v.Slowness, time.Now()}
 	if e.Slots == 0 {
 		e.Slots = v.Slots
 	}
--- a/internal/app/gateway/endpoint.go
+++ b/internal/app/gateway/endpoint.go
@@ -28,6 +28,11 @@
 	removed      bool                     // no longer listed; kept while requests run there
 	missingAt    map[fleet.Want]time.Time // when it answered that it does not hold the model or adapter
 	counts       map[fleet.Want]*runCounts
+	momentary    momentary
+	pace         float64 // how long work takes there relative to its peers; 0 if not known
+	evidence     float64 // observations for that
+	reading      int     // tokens of the prompts of this process's requests that have no event yet
+	extraWork    float64 // by how many usual requests this process's ask for more than their number says
 }
 
 // runCounts counts this process's requests at one endpoint for one model or adapter.
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -78,6 +78,7 @@
 	sentAt          time.Time        // when the newest attempt was sent
 	firstEventAt    time.Time        // when the first event of the newest answer came; zero before
 	lastEndpoint    fleet.EndpointID // the one that it was sent to last
+	load            *requestLoad     // nil unless endpoints are chosen by expected finish
 }
 
 // answer is a complete answer of an endpoint.
@@ -187,6 +188,7 @@
 		if !res.notSent {
 			x.reachedSends++
 		}
+		x.endLoad(e)
 		x.g.dir.release(e, x.info.Want, res.outcome)
 		if res.notSent {
 			x.g.dir.returnPermit(e, x.waiter)
@@ -202,6 +204,7 @@
 
 // giveBack ends a request at an endpoint that it is not sent to after all.
 func (x *exchange) giveBack(e *endpoint) {
+	x.endLoad(e)
 	x.g.dir.release(e, x.info.Want, abandoned)
 	x.g.dir.returnPermit(e, x.waiter)
 }
@@ -264,6 +267,7 @@
 	waits := false
 	w := &allowance.Waiter{Priority: x.requester.priority(x.route), Since: x.arrived}
 	x.waiter = w
+	x.load = x.expectLoad()
 	defer func() {
 		x.g.dir.endWait(w)
 		if waits {
@@ -287,7 +291,7 @@
 			return nil
 		}
 		e, short := x.g.dir.acquire(time.Now(), query{service: x.service, want: x.info.Want, tried: x.tried, waiter: w, mayWait: time.Since(begin) < briefWait,
-			apart: len(x.trial) > 0, bound: x.bound, release: x.release})
+			apart: len(x.trial) > 0, bound: x.bound, release: x.release, load: x.load})
 		if e != nil {
 			return e
 		}
--- a/internal/app/gateway/finish.go
+++ b/internal/app/gateway/finish.go
@@ -17,6 +17,7 @@
 	switch {
 	case f == answered:
 		if x.route.Repeat == deploy.Stream {
+			x.recordLength()
 			x.g.pace.observe(time.Since(x.arrived)-x.firstByte, x.eventsSent*x.g.eventTokens(x.service))
 		}
 		x.log("answered", http.StatusOK)
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -73,7 +73,7 @@
 	entries          atomic.Int64  // entries that share the retry budget; 0 if not known
 	draining         atomic.Bool
 	stopping         atomic.Pointer[stopWindow]
-	pace             pace
+	pace             tokenPace
 	closedToRequests atomic.Bool // no request is accepted any more
 	inflight         atomic.Int64
 	ctx              context.Context
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -51,6 +51,7 @@
 		return 0
 	})
 	s.NewGauge("cassiapass_gateway_endpoints", func() float64 { return float64(g.dir.count()) })
+	s.NewGauge("cassiapass_gateway_endpoints_slow", func() float64 { return float64(g.dir.slowEndpoints()) })
 	s.NewGauge("cassiapass_gateway_entries_known", func() float64 { return float64(g.entries.Load()) })
 	s.NewGauge("cassiapass_gateway_retry_budget_left", g.budgetLeft)
 	s.NewGauge("cassiapass_gateway_requests_suspect", func() float64 { n, _ := g.suspects.count(time.Now(), false); return float64(n) })
@@ -122,6 +123,11 @@
 	m.set.GetOrCreateGauge(byEndpoint(`cassiapass_gateway_endpoint_leaving`, id), nil).Set(1)
 }
 
+// countSlowAvoided counts a choice in which an endpoint known to be slow was left out.
+func (m *metrics) countSlowAvoided() {
+	m.set.GetOrCreateCounter(`cassiapass_gateway_slow_endpoints_avoided_total`).Inc()
+}
+
 // countWithheld counts a request that was not sent to the endpoint that was chosen for it.
 func (m *metrics) countWithheld(id fleet.EndpointID) {
 	m.set.GetOrCreateCounter(byEndpoint(`cassiapass_gateway_endpoint_sends_withheld_total`, id)).Inc()
--- a/internal/app/gateway/requests_test.go
+++ b/internal/app/gateway/requests_test.go
@@ -418,7 +418,7 @@
 
 func TestPaceFollowsSlowStreamsAtOnce(t *testing.T) {
 	is := is.New(t)
-	var p pace
+	var p tokenPace
 	is.Equal(p.maxDuration(100), time.Duration(0))
 	p.observe(time.Second, 100)
 	p.observe(5*time.Second, 100)
--- a/internal/app/gateway/stop.go
+++ b/internal/app/gateway/stop.go
@@ -43,12 +43,12 @@
 	return g.closedToRequests.Load() || st.tooLate(now, r.Timeout) || now.Add(g.pace.maxDuration(output)).After(st.end)
 }
 
-// pace is how long engines take for each token that they generate. It rises at once after
+// tokenPace is how long engines take for each token that they generate. It rises at once after
 // a slow stream and falls slowly: a stream that is begun by a stopping process and takes
 // longer than expected is cut. Tokens that were requested and not generated do not count.
 // Otherwise, since most answers use a third of the tokens that their callers allow, the
 // pace comes out three times too fast, and the one answer that uses them all is cut.
-type pace struct {
+type tokenPace struct {
 	mu       sync.Mutex
 	perToken time.Duration
 }
@@ -65,7 +65,7 @@
 const minPaceTokens = 60
 
 // observe records that a complete stream of that many tokens took d from its first token on.
-func (p *pace) observe(d time.Duration, tokens int) {
+func (p *tokenPace) observe(d time.Duration, tokens int) {
 	if tokens < minPaceTokens {
 		return
 	}
@@ -81,7 +81,7 @@
 
 // maxDuration returns how long a stream of at most output tokens may take; 0 if nothing
 // is known.
-func (p *pace) maxDuration(output int) time.Duration {
+func (p *tokenPace) maxDuration(output int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return time.Duration(paceMargin * float64(p.perToken) * float64(output))
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -86,6 +86,7 @@
 	if n > 0 && x.firstEventAt.IsZero() {
 		x.firstEventAt = time.Now()
 	}
+	x.observeEvents(n)
 	x.recordBegun()
 }
 
--- a/internal/app/gateway/syncer.go
+++ b/internal/app/gateway/syncer.go
@@ -354,6 +354,7 @@
 }
 
 func (s *syncer) reportOnce(ctx context.Context) {
+	s.g.dir.updatePaces(time.Now())
 	conn := s.leader()
 	if conn == nil {
 		return // what waits is reported again when there is a leader
--- a/internal/core/fleet/choose.go
+++ b/internal/core/fleet/choose.go
@@ -6,6 +6,9 @@
 	Slots    int     // requests it runs at once; 0 if not known
 	SameZone bool    // in the entry's own availability zone
 	Failing  float64 // share of recent requests that failed
+	Expect   Expectation
+
+	weight float64 // in a draw
 }
 
 const (
