pace: entries report what they saw, the leader tells which engines are slow

Cause: an entry sees an engine about once in eight seconds at some 7 streams a second before 56 engines: too little to tell a slow engine from a slow moment. All entries together see it several times a second.

Entries report sums by model and endpoint at most once a second and 100 entries, 64 at most; the leader adds them to the same book with the same test, and names endpoints that are proven slower or faster, with hysteresis (a change per endpoint in 5 s), to entries that asked for a model there in the last 10 s, with answers that they get anyway: no new revision, no call is woken. Entries go by what they were told for 20 s, also over a change of leader; a new leader is told all that counts still.

Ruled out: sums relative to an entry's own reference (an entry has too few peers to refer to), full state with each pull (26 MB a second at 300 entries if all engines are named to all).

--- a/internal/app/controller/calls.go
+++ b/internal/app/controller/calls.go
@@ -169,5 +169,6 @@
 	c.planner.RecordDemand(now, string(p.Host), p.Demands, p.Uses)
 	c.pub.recordInterest(now, p.Host, p.Demands)
 	c.notices.Record(now, string(p.Host), p.Notices)
+	c.recordPaces(p.Paces)
 	c.recordEnds(now, p.Host, p.Ends, p.Answered)
 }
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -16,6 +16,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/holder"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/notice"
+	"github.com/cassiapass/cassiapass/internal/core/pace"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/release"
 	"github.com/cassiapass/cassiapass/internal/core/state"
@@ -147,6 +148,7 @@
 	unreadable      int                   // unreadable entries of the list, as last logged
 	featuresLogged  map[feature.Name]bool // optional parts in use, as last logged
 	sharedHosts     bool                  // an entry knows how fast the host of an endpoint is at the moment
+	paces           paces                 // of endpoints, by the entries' reports
 	etas            fleet.ETATable
 	etasUpdated     time.Time // when etas was last updated
 }
@@ -258,7 +260,7 @@
 	c.decodedVersion, c.rev = 0, 0
 	c.listStarted, c.listOK = time.Time{}, false
 	c.entries = map[string]time.Time{}
-	c.etas = fleet.ETATable{}
+	c.etas, c.paces = fleet.ETATable{}, paces{book: pace.NewBook()}
 	c.notices, c.noticed, c.leavingLogged = notice.NewSummary(), 0, map[string]bool{}
 	c.cfg.Log.Info().Uint64("term", term).Msg("fleet_duties_begun")
 	c.pub.startLeading(term)
@@ -282,6 +284,7 @@
 	c.updateHolding(now)
 	c.commitDueQuarantines(now)
 	c.publishNotices(now)
+	c.updatePaces(now)
 	if c.listOK && c.fencedTerm != c.term && c.holding.recorded {
 		c.execute(c.planner.Plan(now))
 		c.met.observePlan(time.Since(now))
--- a/internal/app/controller/metrics.go
+++ b/internal/app/controller/metrics.go
@@ -7,6 +7,7 @@
 	vm "github.com/VictoriaMetrics/metrics"
 
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
+	"github.com/cassiapass/cassiapass/internal/core/pace"
 )
 
 // metrics holds the metrics of one controller.
@@ -39,6 +40,17 @@
 	m.set.GetOrCreateCounter("cassiapass_fleet_requests_quarantined_total").Inc()
 }
 
+// setSlowEndpoints sets how many endpoints are published as slower than their peers.
+func (m *metrics) setSlowEndpoints(factors map[string]pace.Factor) {
+	n := 0
+	for _, f := range factors {
+		if f > pace.Usual {
+			n++
+		}
+	}
+	m.set.GetOrCreateGauge("cassiapass_fleet_endpoints_slow", nil).Set(float64(n))
+}
+
 // observeLoad counts loads of base models by source and records their duration.
 func (m *metrics) observeLoad(s fleet.Settled) {
 	if s.Op != fleet.Load || s.Want.Adapter != "" {
--- a/internal/app/controller/publisher.go
+++ b/internal/app/controller/publisher.go
@@ -11,6 +11,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/limit"
 	"github.com/cassiapass/cassiapass/internal/core/notice"
+	"github.com/cassiapass/cassiapass/internal/core/pace"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/wire"
 )
@@ -31,6 +32,8 @@
 	etas          map[string]publishedETA                             // model to its last published ETA
 	pauses        map[string]map[fleet.EndpointID]publishedPause      // by the models that the endpoints hold, as loads
 	notices       []notice.Status                                     // of all endpoints
+	paces         map[string]map[fleet.EndpointID]pace.Factor         // by the models that the endpoints hold, as loads
+	pacesTold     map[ident.HostID]time.Time                          // when each entry was last told of paces
 	suspects      wire.Suspects                                       // requests under which endpoints ended; zero until published
 	entries       int                                                 // live entries
 	listRead      time.Time                                           // start of the last read of the platform's list
@@ -99,6 +102,7 @@
 	pub.loads, pub.limits, pub.interests = nil, nil, fleet.Interests{}
 	pub.pauses, pub.notices = nil, nil
 	pub.suspects = wire.Suspects{}
+	pub.paces, pub.pacesTold = nil, map[ident.HostID]time.Time{}
 	pub.link, pub.slots = limit.NewMeter(pub.perSecond), map[ident.HostID]time.Time{}
 }
 
@@ -368,6 +372,7 @@
 	pub.mu.Lock()
 	defer pub.mu.Unlock()
 	pub.interests.Forget(entry)
+	delete(pub.pacesTold, ident.HostID(entry))
 }
 
 // encodedLoads returns the loads that an entry needs, encoded; nil if there are none. The
@@ -405,6 +410,7 @@
 		r.ListAge = -1
 	}
 	r.Limits, r.Pauses = pub.limitsFor(time.Now(), p.Host), pub.pausesFor(time.Now(), p.Host)
+	r.Paces = pub.pacesFor(time.Now(), p.Host)
 	missing := pub.isBehind(p)
 	if missing {
 		pub.addChanges(&r, p.Term, p.Rev)
--- a/internal/app/gateway/pace.go
+++ b/internal/app/gateway/pace.go
@@ -28,14 +28,23 @@
 // The directory's lock guards it.
 type paces struct {
 	book    *pace.Book
-	pooled  map[fleet.EndpointID]pace.Factor // by the leader, of all entries' observations
-	times   map[string]*pace.TimesOf         // by kind of work: see paceKind
-	lengths map[string]*pace.Lengths         // by route
-	cands   []fleet.Candidate                // working memory of a choice
+	pooled  map[fleet.EndpointID]toldPace // by the leader, of all entries' observations
+	times   map[string]*pace.TimesOf      // by kind of work: see paceKind
+	lengths map[string]*pace.Lengths      // by route
+	cands   []fleet.Candidate             // working memory of a choice
+
+	reportedAt   time.Time
+	reportedTerm uint64 // of the leader that has all that was observed
+}
+
+// toldPace is a factor that the leader told.
+type toldPace struct {
+	factor pace.Factor
+	at     time.Time
 }
 
 func newPaces() paces {
-	return paces{book: pace.NewBook(), times: map[string]*pace.TimesOf{}, lengths: map[string]*pace.Lengths{}}
+	return paces{book: pace.NewBook(), pooled: map[fleet.EndpointID]toldPace{}, times: map[string]*pace.TimesOf{}, lengths: map[string]*pace.Lengths{}}
 }
 
 // paceKind names the requests that take the same time per event at equal endpoints.
@@ -51,7 +60,7 @@
 func (p *paces) factor(id fleet.EndpointID) (float64, float64) {
 	f, seen := p.book.Factor(string(id))
 	if f == pace.Usual {
-		f = p.pooled[id]
+		f = p.pooled[id].factor
 	}
 	return f.Or(), seen
 }
@@ -272,12 +281,46 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.paces.book.Update(now, len(d.byID)) {
-		d.applyPaces()
+		d.applyPaces(now)
+	}
+}
+
+// paceSums returns what this entry has observed of the pace of endpoints and the leader doesn't know, if
+// a report is due. A new leader is told all that counts still.
+func (d *directory) paceSums(now time.Time, entries int) []pace.Sum {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := &d.paces
+	if now.Sub(p.reportedAt) < pace.ShareInterval(entries) {
+		return nil
+	}
+	all := p.reportedTerm != d.term
+	p.reportedAt, p.reportedTerm = now, d.term
+	return p.book.Sums(all, pace.MaxSums)
+}
+
+// applyPooledPaces applies what the leader tells of the pace of endpoints.
+func (d *directory) applyPooledPaces(now time.Time, told map[fleet.EndpointID]pace.Factor) {
+	if len(told) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, f := range told {
+		if e := d.byID[id]; e != nil {
+			d.paces.pooled[id] = toldPace{f, now}
+			e.pace, e.evidence = d.paces.factor(id)
+		}
 	}
 }
 
 // applyPaces sets the paces of the endpoints. The caller holds mu.
-func (d *directory) applyPaces() {
+func (d *directory) applyPaces(now time.Time) {
+	for id, t := range d.paces.pooled {
+		if now.Sub(t.at) > pace.ToldLife {
+			delete(d.paces.pooled, id)
+		}
+	}
 	for id, e := range d.byID {
 		e.pace, e.evidence = d.paces.factor(id)
 	}
--- a/internal/app/gateway/pace_test.go
+++ b/internal/app/gateway/pace_test.go
@@ -200,3 +200,36 @@
 	is.True(e.extraWork < 1e-9 && e.extraWork > -1e-9)
 	is.Equal(len(g.dir.paces.times), 1)
 }
+
+// Guards against an entry with few streams of its own that learns of slow engines only from them, and
+// against one that is cut off from control and avoids engines for good by what it was told.
+func TestPooledPacesAndEntryCutOff(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlay(3)
+	p.d.applyPooledPaces(p.now, map[fleet.EndpointID]pace.Factor{"e0": 4, "gone": 4})
+	p.run(t, time.Second, true, equalSpeed)
+	is.Equal(p.sends["e0"], 0)
+	is.Equal(len(p.d.paces.pooled), 1)
+	p.now = p.now.Add(pace.ToldLife)
+	p.run(t, 2*time.Second, true, equalSpeed)
+	p.run(t, 10*time.Second, true, equalSpeed)
+	is.True(p.sends["e0"] > 40) // of 200
+}
+
+// Guards against a new leader that learns only from new streams.
+func TestNewLeaderIsToldAll(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlay(3)
+	p.run(t, 10*time.Second, true, equalSpeed)
+	sum := func(sums []pace.Sum) (n float64) {
+		for _, s := range sums {
+			n += s.N
+		}
+		return n
+	}
+	is.True(sum(p.d.paceSums(p.now, 1)) > 100)
+	is.Equal(len(p.d.paceSums(p.now.Add(time.Millisecond), 1)), 0) // at most once a second
+	is.Equal(len(p.d.paceSums(p.now.Add(2*time.Second), 1)), 0)    // all was told
+	p.d.update(2, 1, nil, nil)
+	is.True(sum(p.d.paceSums(p.now.Add(4*time.Second), 1)) > 100)
+}
--- a/internal/app/gateway/syncer.go
+++ b/internal/app/gateway/syncer.go
@@ -172,6 +172,7 @@
 	}
 	s.g.dir.mergeLimits(r.Term, asked, r.Limits)
 	s.g.dir.advisePauses(r.Pauses)
+	s.g.dir.applyPooledPaces(time.Now(), r.Paces)
 	s.g.dir.setETAs(time.Now(), r.Delta, r.Endpoints != nil || len(r.ETAs) > 0, r.ETAs)
 	if r.ListUsual > 0 {
 		s.leaderListAge.Store(int64(r.ListUsual))
@@ -362,9 +363,10 @@
 	p := wire.TellParams{Host: s.g.cfg.Host, Demands: s.g.demands.report(time.Now()), Uses: s.g.dir.reportUses()}
 	p.Notices = s.g.dir.noticeReports(time.Now())
 	p.SharedHosts = s.g.dir.onSharedHosts()
+	p.Paces = s.g.dir.paceSums(time.Now(), int(s.g.entries.Load()))
 	p.Ends, p.Answered = s.g.suspects.report(time.Now(), s.reportedOn != conn)
 	s.reportedOn = conn
-	idle := len(p.Demands)+len(p.Uses)+len(p.Notices)+len(p.Ends)+len(p.Answered) == 0
+	idle := len(p.Demands)+len(p.Uses)+len(p.Notices)+len(p.Ends)+len(p.Answered)+len(p.Paces) == 0
 	if idle && s.idleReportedOn == conn {
 		// An empty report is sent once on a connection. 370 idle entries that repeat
 		// it five times a second each would cost the leader 7 % of a core. On another
--- a/internal/core/pace/book.go
+++ b/internal/core/pace/book.go
@@ -16,7 +16,7 @@
 	// some half-lives later.
 	halfLife = 20 * time.Second
 	// negligible is the number of observations below which a cell is dropped.
-	negligible = 0.1
+	negligible = 0.2
 	// priorObservations is the weight of the assumption that an endpoint works at the usual pace,
 	// in observations: the estimate of an endpoint that was hardly seen stays near it.
 	priorObservations = 0.3
@@ -329,5 +329,11 @@
 	return sum / units, min(units, maxUnits)
 }
 
-// MaxSums bounds the sums in one report.
-const MaxSums = 64
+// Retain drops the endpoints that known denies.
+func (b *Book) Retain(known func(endpoint string) bool) {
+	for id := range b.endpoints {
+		if !known(id) {
+			b.Forget(id)
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,6 +12,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/notice"
+	"github.com/cassiapass/cassiapass/internal/core/pace"
 	"github.com/cassiapass/cassiapass/internal/core/placement"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/record"
@@ -369,6 +370,9 @@
 	Limits []allowance.EndpointStatement `json:"limits,omitempty"`
 	// Pauses are those that other entries were asked for by endpoints that the entry may need.
 	Pauses []notice.Advice `json:"pauses,omitempty"`
+	// Paces are the endpoints that the entry may need and that are known to be slower or faster than
+	// their peers, or were until lately. They are named now and then only.
+	Paces map[fleet.EndpointID]pace.Factor `json:"paces,omitempty"`
 }
 
 // TellParams reports the waiting and running requests of an entry.
@@ -384,6 +388,8 @@
 	SharedHosts bool `json:"sharedHosts,omitempty"`
 	// Notices are what endpoints asked of the entry and is in force.
 	Notices []notice.Report `json:"notices,omitempty"`
+	// Paces are observations of the pace of endpoints that were not reported to this leader.
+	Paces []pace.Sum `json:"paces,omitempty"`
 }
 
 // AllowanceParams reports the use of customers with an allowance at an entry.
