fleet: a busy model that only slow engines hold gets a faster one

Cause: entries can't avoid a slow engine where no other holds the model. The engine stays its only holder as long as it isn't crowded.

One load a second at most, of a busy model with an objective below a second, from a copy on an engine that isn't slow, and only if no model is evicted that has been asked for and that no other engine holds.

Test: TestHurriedModelGetsAFasterEngine. Without paces nothing changes.

--- a/internal/core/fleet/paces.go
+++ b/internal/core/fleet/paces.go
@@ -16,6 +16,8 @@
 	// seconds: some requests late in the first second. It is less than a load from the store or an
 	// unload costs more than a load from disk, so it decides between engines that are nearly equal.
 	slowPenalty = 0.05
+	// slowEngine is the pace from which on an engine counts as slow.
+	slowEngine = 1.4
 )
 
 // shortest is the shortest objective of the requests for a model.
@@ -67,3 +69,69 @@
 
 // Engines returns how many engines are listed.
 func (p *Planner) Engines() int { return len(p.engines) }
+
+// relieveInterval is the least time between two loads that give a model a faster engine: the effect of
+// one is visible within that time.
+const relieveInterval = time.Second
+
+// relieveSlow loads a busy model whose callers expect its first event within a short objective on one
+// more engine, if only slow ones hold it: on these a part of its requests is late all the time. It costs
+// no load from the store and no model that is asked for, and is done for one model at a time. Entries
+// then prefer the faster engine, and the slow one's replica becomes idle.
+func (p *Planner) relieveSlow(now time.Time, w *Work) {
+	if len(p.paces) == 0 || now.Sub(p.relievedAt) < relieveInterval {
+		return
+	}
+	for _, name := range p.survey.busy {
+		if !p.hurried(now, name) || !p.onlySlow(now, name) {
+			continue
+		}
+		var best *placement
+		for e := range p.copies.engines(name) {
+			if p.pace(e) >= slowEngine {
+				continue
+			}
+			if s, ok := p.placement(now, e, name, false); ok && !p.costsDemand(now, name, s) && s.cheaper(best) {
+				best = &s
+			}
+		}
+		if best != nil {
+			p.relievedAt = now
+			p.issuePlacement(now, name, *best, w)
+			return
+		}
+	}
+}
+
+// onlySlow reports whether engines hold a model, all of them slow, and no other loads it.
+func (p *Planner) onlySlow(now time.Time, name string) bool {
+	base, held := Want{Model: name}, false
+	for _, e := range p.survey.holding[name] {
+		if !e.has(base) || !e.usable(now) {
+			continue
+		}
+		if p.pace(e) < slowEngine {
+			return false
+		}
+		held = true
+	}
+	return held && len(p.survey.loading[base]) == 0
+}
+
+// costsDemand reports whether a placement evicts a model that no other engine holds and that has been
+// asked for.
+func (p *Planner) costsDemand(now time.Time, name string, s placement) bool {
+	eng, m := p.spec(s.e, name)
+	r := p.capacity(now, s.e, eng)
+	free := r.free
+	for _, v := range r.victims {
+		if free >= m.Megabytes {
+			break
+		}
+		if p.survey.holders[v.name] < 2 && p.rate(now, v.name) >= minListedRate {
+			return true
+		}
+		free += eng.Models[v.name].Megabytes
+	}
+	return false
+}
--- a/internal/core/fleet/paces_test.go
+++ b/internal/core/fleet/paces_test.go
@@ -82,3 +82,44 @@
 		})
 	}
 }
+
+// Guards against a busy model that stays on slow engines while faster ones have room for it.
+func TestHurriedModelGetsAFasterEngine(t *testing.T) {
+	start := time.Unix(1e6, 0)
+	now := start.Add(time.Second)
+	slow := map[EndpointID]pace.Factor{"e0": 2.4}
+	cases := []struct {
+		name      string
+		held      [][]string
+		paces     map[EndpointID]pace.Factor
+		objective time.Duration
+		rare      int // requests for the other model
+		want      int // loads and evictions for the model
+	}{
+		{"a faster engine has room", [][]string{{"m0"}, {"m1"}}, slow, 300 * time.Millisecond, 0, 1},
+		{"no pace is known", [][]string{{"m0"}, {"m1"}}, nil, 300 * time.Millisecond, 0, 0},
+		{"callers have time", [][]string{{"m0"}, {"m1"}}, slow, 3 * time.Second, 0, 0},
+		{"a faster one holds it", [][]string{{"m0"}, {"m0"}}, slow, 300 * time.Millisecond, 0, 0},
+		{"nobody asks for what makes way", [][]string{{"m0"}, {"m1", "rare"}}, slow, 300 * time.Millisecond, 0, 1},
+		{"what would make way is asked for", [][]string{{"m0"}, {"m1", "rare"}}, slow, 300 * time.Millisecond, 3, 0},
+		{"all are slow", [][]string{{"m0"}, {"m1"}}, map[EndpointID]pace.Factor{"e0": 2.4, "e1": 2.4}, 300 * time.Millisecond, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := pacedPlanner(start, c.held...)
+			p.SetPaces(c.paces)
+			if c.rare > 0 {
+				p.RecordDemand(now, "other", []Demand{{Want: Want{Model: "rare"}, Arrived: c.rare}, {Want: Want{Model: "m1"}, Arrived: c.rare}}, nil)
+			}
+			asksFor(p, now, "m0", 0, c.objective)
+			n := 0
+			for _, o := range p.Plan(now).Orders {
+				if o.Want.Model == "m0" || o.Op == Unload && o.Endpoint == "e1" && len(c.held[1]) == 2 {
+					n++
+				}
+			}
+			is.Equal(n, c.want)
+		})
+	}
+}
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -89,6 +89,7 @@
 	demandByEntry    map[string]map[Want]Demand // entry to what waits there
 	usesByEntry      map[string][]Use           // entry to its requests in progress
 	objectives       map[string]shortest        // of the requests for a model
+	relievedAt       time.Time                  // when a model was last given a faster engine
 	storeLoadsAt     []time.Time                // when recent loads from the store were ordered
 	store            storeLimiter
 	settled          []Settled
