fleet: replicas count by the work that they do

Cause: a model on an engine that takes 2.4 times as long counts as served by a whole replica.

Test: TestReplicasCountByWork; core/fleet whole. Without paces nothing changes.

--- a/internal/core/fleet/limits.go
+++ b/internal/core/fleet/limits.go
@@ -42,12 +42,13 @@
 }
 
 // replicaLoss returns the part of a replica by which an engine that holds a model falls short,
-// as its limit is below the rate that one replica should serve.
+// as it is slow or its limit is below the rate that one replica should serve.
 func (p *Planner) replicaLoss(e *engine, name string) float64 {
-	if e.limit == 0 {
-		return 0
+	served := 1 / max(p.pace(e), 1)
+	if e.limit > 0 {
+		served = min(served, e.limit/p.ratePerReplica(name))
 	}
-	return max(1-e.limit/p.ratePerReplica(name), 0)
+	return 1 - served
 }
 
 // lostReplicas returns by how many replicas the engines that hold a model fall short in all.
--- a/internal/core/fleet/paces_test.go
+++ b/internal/core/fleet/paces_test.go
@@ -123,3 +123,16 @@
 		})
 	}
 }
+
+// Guards against replicas that are counted but can't do their part of the work.
+func TestReplicasCountByWork(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1e6, 0)
+	p := pacedPlanner(now, []string{"m0"}, []string{"m0"}, nil)
+	p.Plan(now)
+	is.Equal(p.lostReplicas(now, "m0"), 0.0)
+	p.SetPaces(map[EndpointID]pace.Factor{"e0": 2.5, "e1": 0.5})
+	is.Equal(p.lostReplicas(now, "m0"), 0.6) // a faster one still counts as one
+	p.SetLimits(map[EndpointID]float64{"e0": 1e-3})
+	is.True(p.lostReplicas(now, "m0") > 0.99) // the lower of both counts
+}
