--- a/internal/app/gateway/pace_test.go
+++ b/internal/app/gateway/pace_test.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
+	"math"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -259,3 +263,44 @@
 		})
 	}
 }
+
+// Guards against streams whose pace is not observed, or whose work stays counted when callers leave.
+func TestStreamsAreObserved(t *testing.T) {
+	is := is.New(t)
+	ep := newFakeEndpoint(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool {
+		head(c, r)
+		for i := range 12 {
+			time.Sleep(60 * time.Millisecond)
+			chunk(c, event(i+1))
+		}
+		_, err := c.Write([]byte("0\r\n\r\n"))
+		return err == nil
+	})
+	g := startGateway(t, ep)
+	g.cfg.Features = feature.Settings{feature.Pace: feature.On}
+	for i, path := range []string{"/stream/x", "/resume/x"} {
+		is.Equal(dial(t, g).ask("POST", path, fmt.Sprint("r", i), "", "Model: m").status, 200)
+	}
+	leaves := dial(t, g)
+	leaves.send("POST", "/stream/x", "r2", "", "Model: m")
+	time.Sleep(150 * time.Millisecond)
+	is.NoErr(leaves.c.Close())
+	ownRunning := func() int {
+		g.dir.mu.Lock()
+		defer g.dir.mu.Unlock()
+		return g.dir.byID["e0"].ownRunning
+	}
+	for begin := time.Now(); ownRunning() > 0 && time.Since(begin) < 5*time.Second; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(ownRunning(), 0)
+	g.dir.mu.Lock()
+	defer g.dir.mu.Unlock()
+	is.Equal(g.dir.byID["e0"].reading, 0)
+	sums := g.dir.paces.book.Sums(false, pace.MaxSums)
+	is.Equal(len(sums), 1)
+	is.Equal(sums[0].Model, "m")
+	is.True(sums[0].N >= 2)
+	perEvent := math.Exp(sums[0].Log / sums[0].N)
+	is.True(perEvent > 0.05 && perEvent < 0.2)
+}
