--- a/internal/app/controller/paces.go
+++ b/internal/app/controller/paces.go
@@ -1,8 +1,11 @@
 package controller
 
 import (
+	"net/http"
 	"time"
 
+	"github.com/labstack/echo/v4"
+
 	"github.com/cassiapass/cassiapass/internal/core/feature"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
@@ -40,6 +43,7 @@
 		return
 	}
 	c.paces.book.Retain(known)
+	c.pub.setPaceStatus(c.paces.book.Status())
 	before := c.paces.published.Factors()
 	if !c.paces.published.Update(now, c.paces.book.Decided(), known) {
 		c.pub.setPaces(before) // endpoints may hold other models than before
@@ -83,3 +87,27 @@
 	}
 	return out
 }
+
+// setPaceStatus sets what operators are shown.
+func (pub *publisher) setPaceStatus(all []pace.Status) {
+	pub.mu.Lock()
+	defer pub.mu.Unlock()
+	pub.paceStatus = all
+}
+
+// PacesPath is the path of the operator API at which the paces of endpoints are read.
+const PacesPath = "/v1/paces"
+
+// ServePaces answers an operator's request with a []pace.Status. Only the leader has it.
+func (c *Controller) ServePaces(x echo.Context) error {
+	c.pub.mu.Lock()
+	all, leads := c.pub.paceStatus, c.pub.leading
+	c.pub.mu.Unlock()
+	if !leads {
+		return c.notLeader(x)
+	}
+	if all == nil {
+		all = []pace.Status{}
+	}
+	return x.JSON(http.StatusOK, all)
+}
--- a/internal/app/controller/paces_test.go
+++ b/internal/app/controller/paces_test.go
@@ -56,6 +56,8 @@
 	is.Equal(len(r.Paces), 0) // told just now
 	r, _, _ = c.pub.answer(wire.PullParams{Host: "other", Term: 3, Rev: 7, Version: 9})
 	is.Equal(len(r.Paces), 0)
+	is.Equal(c.pub.paceStatus[0].Endpoint, "e0") // as operators see it, the slowest first
+	is.True(c.pub.paceStatus[0].Estimate > 2 && c.pub.paceStatus[0].Proof >= 1)
 	c.updatePaces(now.Add(time.Minute))
 	select {
 	case <-wake.all:
--- a/internal/app/controller/publisher.go
+++ b/internal/app/controller/publisher.go
@@ -33,11 +33,12 @@
 	pauses        map[string]map[fleet.EndpointID]publishedPause      // by the models that the endpoints hold, as loads
 	notices       []notice.Status                                     // of all endpoints
 	paces         map[string]map[fleet.EndpointID]pace.Factor         // by the models that the endpoints hold, as loads
-	pacesTold     map[ident.HostID]time.Time                          // when each entry was last told of paces
-	suspects      wire.Suspects                                       // requests under which endpoints ended; zero until published
-	entries       int                                                 // live entries
-	listRead      time.Time                                           // start of the last read of the platform's list
-	typicalAge    time.Duration                                       // age that the list typically reaches before the next read ends
+	paceStatus    []pace.Status
+	pacesTold     map[ident.HostID]time.Time // when each entry was last told of paces
+	suspects      wire.Suspects              // requests under which endpoints ended; zero until published
+	entries       int                        // live entries
+	listRead      time.Time                  // start of the last read of the platform's list
+	typicalAge    time.Duration              // age that the list typically reaches before the next read ends
 	dep           state.Deployment
 	compressed    map[uint64][]byte // compressed changes up to rev, by the revision they start from; 0 for the whole list
 	depCompressed []byte            // dep compressed; nil until requested
@@ -102,6 +103,7 @@
 	pub.loads, pub.limits, pub.interests = nil, nil, fleet.Interests{}
 	pub.pauses, pub.notices = nil, nil
 	pub.suspects = wire.Suspects{}
+	pub.paceStatus = nil
 	pub.paces, pub.pacesTold = nil, map[ident.HostID]time.Time{}
 	pub.link, pub.slots = limit.NewMeter(pub.perSecond), map[ident.HostID]time.Time{}
 }
--- a/internal/core/pace/book.go
+++ b/internal/core/pace/book.go
@@ -42,6 +42,7 @@
 	endpoints map[string]*endpointPart
 	cells     map[cellKey]*cell
 	centre    float64 // median of the endpoints' parts
+	tested    int     // endpoints that the tests are made for
 	updatedAt time.Time
 }
 
@@ -220,7 +221,7 @@
 	if passed < updateInterval {
 		return false
 	}
-	b.updatedAt = now
+	b.updatedAt, b.tested = now, endpoints
 	kept := math.Exp2(-passed.Seconds() / halfLife.Seconds())
 	for _, c := range b.cells {
 		c.n, c.sum = c.n*kept+c.newN, c.sum*kept+c.newSum
