--- a/internal/app/gateway/acquire.go
+++ b/internal/app/gateway/acquire.go
@@ -42,6 +42,14 @@
 	apart   bool // it goes where the fewest others run
 	bound   bool // to endpoints of a release
 	release release.Name
+	load    *requestLoad // nil unless endpoints are chosen by expected finish
+}
+
+// choosing is working memory of a choice, used again for the next one.
+type choosing struct {
+	eps       []*endpoint
+	preferred []int
+	cands     []fleet.Candidate
 }
 
 // acquire picks an endpoint for a request and counts the request there. If there is none, it
@@ -58,7 +66,7 @@
 	}
 	var limited []*endpoint
 	for first := true; len(eps) > 0; first = false {
-		i := d.choose(now, eps)
+		i := d.choose(now, eps, q.load)
 		if q.apart {
 			i = leastLoaded(eps)
 		}
@@ -72,6 +80,7 @@
 		}
 		if d.limits.Take(now, id, w) {
 			d.countSend(e, q.want)
+			d.beginLoad(now, e, q.load)
 			d.signalPermits(now)
 			delete(d.waiters, w)
 			return e, shortage{}
@@ -106,7 +115,7 @@
 		s.reason = reasonReleaseGone
 		return nil, s
 	}
-	var eps []*endpoint
+	eps := d.choosing.eps[:0]
 	full := false
 	for _, e := range d.byID {
 		if e.Service != q.service || d.leaves(e) || q.bound && e.Release != q.release {
@@ -126,6 +135,7 @@
 		}
 		eps = append(eps, e)
 	}
+	d.choosing.eps = eps
 	s.onlyPauses = s.reason == reasonPaused && !full && len(eps) == 0
 	return eps, s
 }
@@ -148,8 +158,8 @@
 
 // choose returns the index of the endpoint to try first. One that has asked other entries for a
 // pause is tried after the others.
-func (d *directory) choose(now time.Time, eps []*endpoint) int {
-	var preferred []int
+func (d *directory) choose(now time.Time, eps []*endpoint, l *requestLoad) int {
+	preferred := d.choosing.preferred[:0]
 	for i, e := range eps {
 		if !d.notices.Advised(now, string(e.ID)) {
 			preferred = append(preferred, i)
@@ -160,11 +170,15 @@
 			preferred = append(preferred, i)
 		}
 	}
-	cands := make([]fleet.Candidate, len(preferred))
+	cands := slices.Grow(d.choosing.cands[:0], len(preferred))[:len(preferred)]
+	d.choosing.preferred, d.choosing.cands = preferred, cands
 	for i, at := range preferred {
 		e := eps[at]
 		cands[i] = fleet.Candidate{Running: e.ownRunning + e.otherRunning, Slots: e.slots(), SameZone: e.Zone == d.zone, Failing: e.failureShareAt(now)}
 	}
+	if l != nil {
+		return preferred[d.chooseByFinish(now, eps, preferred, cands, l, rand.IntN)]
+	}
 	return preferred[fleet.Choose(cands, rand.IntN)]
 }
 
--- a/internal/app/gateway/endpoint.go
+++ b/internal/app/gateway/endpoint.go
@@ -28,6 +28,11 @@
 	removed      bool                     // no longer listed; kept while requests run there
 	missingAt    map[fleet.Want]time.Time // when it answered that it does not hold the model or adapter
 	counts       map[fleet.Want]*runCounts
+	momentary    momentary
+	pace         float64 // how long work takes there relative to its peers; 0 if not known
+	evidence     float64 // observations for that
+	reading      int     // tokens of the prompts of this process's requests that have no event yet
+	extraWork    float64 // by how many usual requests this process's ask for more than their number says
 }
 
 // runCounts counts this process's requests at one endpoint for one model or adapter.
@@ -88,7 +93,7 @@
 // unavailableReason returns why an endpoint cannot take a request now, or "".
 func (e *endpoint) unavailableReason(now time.Time, want fleet.Want) refusalReason {
 	switch {
-	case want.Model != "" && (!e.holds(want) || now.Sub(e.missingAt[want]) < missingModelTTL):
+	case want.Model != "" && (!e.holds(want) || len(e.missingAt) > 0 && now.Sub(e.missingAt[want]) < missingModelTTL):
 		return reasonNotLoaded
 	case now.Before(e.avoidUntil):
 		return reasonAllFull
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -88,6 +88,8 @@
 	wants            map[Want]*demand
 	demandByEntry    map[string]map[Want]Demand // entry to what waits there
 	usesByEntry      map[string][]Use           // entry to its requests in progress
+	objectives       map[string]shortest        // of the requests for a model
+	relievedAt       time.Time                  // when a model was last given a faster engine
 	storeLoadsAt     []time.Time                // when recent loads from the store were ordered
 	store            storeLimiter
 	settled          []Settled
