Streams go on from a copy of their run's memory when their engine ends

Cause: a run ended with its engine; on routes that may run a request once its caller got a 502 or a cut answer. Engines offer copies of a run's memory and moves of runs, and nothing used them. core/standby decides where a copy lies, which runs get one, when silence is a fault and how a run goes on; the gateway names a holder with each stream, forwards whole events and sends the request on to the holder when the source has ended or cannot be reached. A source that lives is asked to stop the run first. Ruled out: going on beside a source that lives on a route for one endpoint (it would count as another endpoint); a second copy for a run that has gone on.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -19,6 +19,7 @@
 	notRun   bool // the request certainly did not run there
 	notSent  bool // nothing was sent to the endpoint
 	final    bool // it must not be sent again, even if the route allows repeats
+	broke    bool // the answer broke off, or none came
 	outcome  attemptOutcome
 }
 
@@ -57,9 +58,9 @@
 	x.logSent(e, cc)
 	h := http1.EndToEnd(x.r.Header)
 	x.g.cfg.Dialect.WriteRequest(h, ForwardFields{TimeLeft: time.Until(x.deadline), Endpoint: e.Name(), Priority: x.requester.priority(x.route), LastEvent: x.lastEvent,
-		Authenticated: x.requester.keyed, Customer: x.requester.customerName()})
+		BackupTo: x.protect(e), GoOnFrom: x.goOnFrom, Authenticated: x.requester.keyed, Customer: x.requester.customerName()})
 	sent := time.Now()
-	x.sentAt, x.firstEventAt = sent, time.Time{}
+	x.sentAt, x.firstEventAt, x.status = sent, time.Time{}, 0
 	cc.Send(x.r.Method, x.r.Target, x.r.Host, h, x.r.Body)
 	resp, v, err := x.receive(cc, e)
 	x.g.dir.sendEnded(e, sending, err == nil && !v.NotRun, v.NotRun && !v.ModelMissing && !v.WrongEndpoint)
@@ -83,7 +84,7 @@
 	if x.firstByte == 0 {
 		x.firstByte = time.Since(x.arrived)
 	}
-	x.framing = resp.Framing
+	x.framing, x.status = resp.Framing, resp.Status
 	x.g.metrics.countAnswer(resp.Framing)
 	res, err := x.forwardAnswer(e, resp)
 	if err != nil {
@@ -162,7 +163,7 @@
 	}
 	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Str("framing", string(x.framing)).Int("events", x.eventsSent).Err(err).Msg("endpoint_" + event)
 	x.recordBreak(e)
-	return result{outcome: failed}
+	return result{outcome: failed, broke: true}
 }
 
 // drainBody reads a short body to its end, so that the connection can be kept.
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -78,6 +78,11 @@
 	sentAt          time.Time        // when the newest attempt was sent
 	firstEventAt    time.Time        // when the first event of the newest answer came; zero before
 	lastEndpoint    fleet.EndpointID // the one that it was sent to last
+	status          int              // of the newest answer; 0 before its head
+	standby         bool             // its run may go on at another endpoint
+	copy            *protection      // of the memory of its run; nil if there is none
+	goOnFrom        string           // copy from which the attempt in progress goes on; "" for none
+	goneOn          int              // times that its run went on
 }
 
 // answer is a complete answer of an endpoint.
@@ -136,7 +141,9 @@
 	defer g.revocations.track(x.requester, abort)()
 	g.demands.recordArrival(info.Want)
 	g.budget(x.service, func(b *limit.Shared) bool { b.Request(); return true })
+	x.standby = x.standsBy()
 	outcome := x.run(callerCtx)
+	x.unprotect()
 	c.Unwatch()
 	if outcome == notRun {
 		x.refund()
@@ -194,6 +201,7 @@
 		if res.outcome == withheld || res.outcome == atConnLimit {
 			x.sends--
 		}
+		e, res = x.goOn(ctx, e, res)
 		if f, over := x.afterAttempt(ctx, e, res); over {
 			return f
 		}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -47,7 +47,9 @@
 	// asks for an order of urgency under overload.
 	Features feature.Settings
 	Pressure bool
-	Log      zerolog.Logger
+	// Runs moves runs between endpoints; nil if they cannot be moved.
+	Runs RunMover
+	Log  zerolog.Logger
 }
 
 // Gateway is a running entry.
@@ -66,6 +68,7 @@
 	endpointLimits   *endpointLimits
 	unknown          unknownFields
 	streams          *streams
+	standbys         standbys
 	metrics          *metrics
 	table            atomic.Pointer[deploy.Table]
 	startedAt        time.Time
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -55,6 +55,13 @@
 	if s.LastEvent != "" {
 		h.Set("Last-Event-Id", s.LastEvent)
 	}
+	h.Del("Backup-To")
+	if s.BackupTo != "" {
+		h.Set("Backup-To", s.BackupTo)
+	}
+	if s.GoOnFrom != "" {
+		h.Set("Go-On-From", s.GoOnFrom)
+	}
 }
 
 func (testDialect) ReadAnswer(_ string, status int, h http.Header) AnswerFields {
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -26,6 +26,7 @@
 	wait      *vm.Histogram
 	firstByte *vm.Histogram
 	gaps      *vm.Histogram
+	runGap    *vm.Histogram // without events before the first one of a run that went on
 
 	mu     sync.Mutex
 	labels map[ident.Customer]bool // customers with counters of their own
@@ -40,6 +41,7 @@
 		wait:      s.NewHistogram("cassiapass_gateway_wait_seconds"),
 		firstByte: s.NewHistogram("cassiapass_gateway_first_byte_seconds"),
 		gaps:      s.NewHistogram("cassiapass_gateway_stream_gap_seconds"),
+		runGap:    s.NewHistogram("cassiapass_gateway_run_gap_seconds"),
 	}
 	s.NewGauge("cassiapass_gateway_requests_under_way", func() float64 { return float64(g.inflight.Load()) })
 	s.NewGauge("cassiapass_gateway_endpoint_list_age_seconds", func() float64 { return g.dir.listAge().Seconds() })
@@ -65,6 +67,7 @@
 			return 0
 		})
 	}
+	registerStandby(s, g)
 	opshttp.RegisterByteCounters(s, &m.rpc)
 	return m
 }
--- /dev/null
+++ b/internal/app/gateway/moves.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cassiapass/cassiapass/internal/core/standby"
+)
+
+// RunMover moves runs between endpoints and frees copies of their memory.
+type RunMover interface {
+	// MoveRun asks the endpoint at source to copy the memory of a request's run to the endpoint at
+	// target. With last, the run stops first, and its stream is closed without its end. The errors are
+	// ErrNoRun, ErrNotMoved, ErrNoRoom, ErrNoAnswer and ErrNotReached.
+	MoveRun(ctx context.Context, source, request, target string, last bool) (MovedRun, error)
+	// FreeCopy frees a copy at the endpoint at addr.
+	FreeCopy(ctx context.Context, addr, handle string) error
+}
+
+// MovedRun is the memory of a run that was handed over.
+type MovedRun struct {
+	Handle string // names the copy; with ErrNoRoom the memory that stays at the source
+	Made   int    // events made so far
+}
+
+// Results of a move.
+var (
+	ErrNoRun      = errors.New("the endpoint does not run the request")
+	ErrNotMoved   = errors.New("the endpoint did not move the run")
+	ErrNoRoom     = errors.New("the target has no room for the run, or cannot be reached")
+	ErrNoAnswer   = errors.New("the endpoint did not answer")
+	ErrNotReached = errors.New("no connection to the endpoint")
+)
+
+// moveTarget returns the endpoint to which a run at e can be moved, nil if there is none.
+func (x *exchange) moveTarget(e *endpoint) *endpoint {
+	en := x.engine()
+	if en == nil || !en.Moves {
+		return nil
+	}
+	eps, holders := x.g.dir.holders(time.Now(), e, x.info.Want, x.tried)
+	i := standby.Target(holders, func(h standby.Holder) bool { return x.copy != nil && x.copy.holder.ID == h.ID })
+	if i < 0 {
+		return nil
+	}
+	return eps[i]
+}
+
+// moveRun asks the source to stop the run and hand it over, and sets the result.
+func (x *exchange) moveRun(ctx context.Context, e, target *endpoint, p *goOnPlan) {
+	s := &x.g.standbys
+	s.mu.Lock()
+	begun := s.rescues.Begin(e.ID)
+	s.mu.Unlock()
+	if !begun {
+		p.move = standby.NotStopped
+		x.g.metrics.countMoved("over_bound")
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		s.rescues.End(e.ID)
+		s.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	asked := time.Now()
+	m, err := x.g.cfg.Runs.MoveRun(ctx, e.Addr, x.info.ID, target.Addr, true)
+	p.target, p.handle = target, m.Handle
+	result := "moved"
+	switch {
+	case err == nil && m.Handle != "":
+		p.move = standby.Moved
+	case errors.Is(err, ErrNoRoom) && m.Handle != "":
+		p.move, result = standby.Stopped, "stopped"
+	case errors.Is(err, ErrNoRun):
+		p.move, result = standby.NoRun, "no_run"
+	case errors.Is(err, ErrNotReached):
+		p.move, result = standby.Unreached, "not_reached"
+	case errors.Is(err, ErrNoAnswer):
+		p.move, result = standby.Unanswered, "no_answer"
+	default:
+		p.move, result = standby.NotStopped, "not_stopped"
+	}
+	x.g.metrics.countMoved(result)
+	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("source", string(e.ID)).Str("target", string(target.ID)).Str("result", result).Int("made", m.Made).Int("events", x.eventsSent).
+		Dur("took", time.Since(asked)).Err(err).Msg("run_moved")
+}
--- /dev/null
+++ b/internal/app/gateway/standby_test.go
@@ -0,0 +1,334 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiapass/cassiapass/internal/core/deploy"
+	"github.com/cassiapass/cassiapass/internal/core/feature"
+	"github.com/cassiapass/cassiapass/internal/core/release"
+)
+
+// lastPiece is the number of events of a run of the fake engines.
+const lastPiece = 6
+
+// engineFault is what an engine does to the runs that begin there.
+type engineFault struct {
+	at   int    // after this many events; the fault happens once
+	how  string // "end", "end within", "reset", "mute"
+	used bool
+}
+
+// engines are fake engines that copy the memory of runs, and check what may run.
+type engines struct {
+	t  *testing.T
+	bs []*fakeEndpoint
+
+	mu       sync.Mutex
+	faults   map[string]*engineFault // by address
+	copies   map[string]bool         // HOLDER/REQUEST, or SOURCE/HANDLE
+	noCopies bool
+	fresh    map[string]int    // runs begun without a copy, by request
+	running  map[string]string // address at which a request runs
+	stop     map[string]chan struct{}
+	moves    []string
+}
+
+func newEngines(t *testing.T, n int) *engines {
+	w := &engines{t: t, faults: map[string]*engineFault{}, copies: map[string]bool{}, fresh: map[string]int{}, running: map[string]string{}, stop: map[string]chan struct{}{}}
+	for range n {
+		var b *fakeEndpoint
+		b = newFakeEndpoint(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool { return w.serve(b, c, r) })
+		w.bs = append(w.bs, b)
+	}
+	return w
+}
+
+// fault has the engine at which the next run begins fail.
+func (w *engines) fault(f engineFault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, b := range w.bs {
+		w.faults[b.l.Addr().String()] = &f
+	}
+}
+
+// begin begins a run, from a copy if the request names one; false if that does not exist.
+func (w *engines) begin(addr string, r *http.Request) (stop chan struct{}, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id, from := r.Header.Get("Id"), r.Header.Get("Go-On-From")
+	if from != "" {
+		if !w.copies[from] {
+			return nil, false
+		}
+		delete(w.copies, from)
+	} else {
+		w.fresh[id]++
+	}
+	if at := w.running[id]; at != "" {
+		w.t.Errorf("%s begins at %s while it runs at %s", id, addr, at)
+	}
+	w.running[id], w.stop[id] = addr, make(chan struct{})
+	if to := r.Header.Get("Backup-To"); to != "" && !w.noCopies {
+		if to == addr {
+			w.t.Errorf("%s is its own holder", addr)
+		}
+		w.copies[to+"/"+id] = true
+	}
+	return w.stop[id], true
+}
+
+func (w *engines) end(id string, complete bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.running, id)
+	for c := range w.copies {
+		if complete && strings.HasSuffix(c, "/"+id) {
+			delete(w.copies, c)
+		}
+	}
+}
+
+func (w *engines) takeFault(addr string, piece int) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.faults[addr]
+	if f == nil || f.used || f.at != piece {
+		return ""
+	}
+	f.used = true
+	return f.how
+}
+
+func (w *engines) serve(b *fakeEndpoint, c net.Conn, r *http.Request) bool {
+	addr, id := b.l.Addr().String(), r.Header.Get("Id")
+	stop, ok := w.begin(addr, r)
+	if !ok {
+		return reply(c, r, http.StatusServiceUnavailable, "", "Not-Run: 1")
+	}
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if w.takeFault(addr, -1) == "mute" { // neither head nor events
+		<-stop
+		return false
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, addr)
+	for i := last; ; i++ {
+		switch w.takeFault(addr, i) {
+		case "end":
+			_ = b.l.Close()
+			w.end(id, false)
+			return false
+		case "end within":
+			chunk(c, event(i + 1)[:9])
+			_ = b.l.Close()
+			w.end(id, false)
+			return false
+		case "reset":
+			w.end(id, false) // as engines do whose connection is closed
+			return false
+		case "mute":
+			<-stop
+			return false
+		}
+		if i == lastPiece {
+			break
+		}
+		chunk(c, event(i+1))
+		time.Sleep(2 * time.Millisecond)
+	}
+	w.end(id, true)
+	_, _ = c.Write([]byte("0\r\n\r\n"))
+	return true
+}
+
+// MoveRun implements RunMover.
+func (w *engines) MoveRun(_ context.Context, source, request, target string, last bool) (MovedRun, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.moves = append(w.moves, request)
+	if w.running[request] != source || !last {
+		return MovedRun{}, ErrNoRun
+	}
+	close(w.stop[request])
+	delete(w.running, request)
+	w.copies[source+"/h1"] = true
+	if w.noCopies {
+		return MovedRun{Handle: "h1"}, ErrNoRoom
+	}
+	return MovedRun{Handle: "h1"}, nil
+}
+
+// FreeCopy implements RunMover.
+func (w *engines) FreeCopy(_ context.Context, addr, handle string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.copies, addr+"/"+handle)
+	return nil
+}
+
+// standbyDeployment is testDeployment with engines that copy and move runs, and routes on which one
+// endpoint may run a request.
+func standbyDeployment() *deploy.Config {
+	d := testDeployment()
+	d.Services["s"].Engine = &deploy.Engine{Slots: 4, KVTokens: 100000, Backups: true, Moves: true, KVTokenBytes: 1 << 17, LinkMbps: 260000}
+	for i := range d.Routes {
+		d.Routes[i].Objective, d.Routes[i].MaxGap, d.Routes[i].SilenceLimit = 100*time.Millisecond, 100*time.Millisecond, 2400*time.Millisecond
+		if !d.Routes[i].Resumable {
+			d.Routes[i].Attempts = 1
+		}
+	}
+	return d
+}
+
+func startStandby(t *testing.T, w *engines, mode feature.Mode) *Gateway {
+	t.Helper()
+	cfg := testConfig()
+	cfg.Features, cfg.Runs = feature.Settings{feature.Standby: mode}, w
+	g, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Kill)
+	g.table.Store(deploy.NewTable(standbyDeployment()))
+	g.raiseEntries(1)
+	g.dir.replace(1, 1, listed(w.bs...))
+	return g
+}
+
+// askStream sends a request whose run is expected to take 700 ms.
+func askStream(t *testing.T, g *Gateway, path string) got {
+	t.Helper()
+	return dial(t, g).ask("POST", path, "r1", "x", "Model: m", "Output: 100")
+}
+
+// copiesLeft returns how many copies an entry counts once its requests have ended.
+func copiesLeft(g *Gateway) int {
+	for i := 0; ; i++ {
+		g.standbys.mu.Lock()
+		n, _ := g.standbys.ledger.Copies()
+		g.standbys.mu.Unlock()
+		if n == 0 || i == 100 {
+			return n
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against streams that end with their engine although another one holds the memory of the run.
+func TestRunGoesOnFromItsCopyWhenItsEngineEnds(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resume/"} {
+		for _, f := range []engineFault{{at: 0, how: "end"}, {at: 3, how: "end"}, {at: 3, how: "end within"}, {at: lastPiece, how: "end"}} {
+			t.Run(fmt.Sprint(path, f.how, f.at), func(t *testing.T) {
+				is := is.New(t)
+				w := newEngines(t, 3)
+				w.fault(f)
+				g := startStandby(t, w, feature.On)
+				got := askStream(t, g, path)
+				is.NoErr(got.err)
+				is.Equal(got.status, 200)
+				is.Equal(got.body, events(1, lastPiece)) // no event twice or missing
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				is.Equal(w.fresh["r1"], 1) // one run, which went on
+				is.Equal(copiesLeft(g), 0)
+			})
+		}
+	}
+}
+
+// Guards against a second run of a request that may run once, when its engine ends and no copy of its
+// memory is there, or its holder has ended as well.
+func TestRunWithoutCopyEndsCut(t *testing.T) {
+	for _, name := range []string{"no copy", "both end", "one holder only", "holder leaves"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newEngines(t, 2)
+			w.noCopies = name == "no copy"
+			w.fault(engineFault{at: 3, how: "end"})
+			g := startStandby(t, w, feature.On)
+			eps := listed(w.bs...)
+			switch name {
+			case "both end":
+				for _, b := range w.bs { // the first takes the connection that is open already
+					addr := b.l.Addr().String()
+					w.faults[addr] = &engineFault{at: 3, how: "end"}
+				}
+			case "one holder only":
+				eps[1].Held = nil
+				g.dir.replace(1, 2, eps)
+			case "holder leaves":
+				w.fault(engineFault{at: 3, how: "mute"})
+			}
+			c := dial(t, g)
+			c.send("POST", "/stream/", "r1", "x", "Model: m", "Output: 100")
+			if name == "holder leaves" {
+				time.Sleep(50 * time.Millisecond)
+				source := 0
+				if w.bs[1].arrivals() > 0 {
+					source = 1
+				}
+				eps[1-source].Leaving = true
+				g.dir.replace(1, 2, eps)
+				_ = w.bs[source].l.Close()
+				w.end("r1", false)
+				close(w.stop["r1"])
+			}
+			got := c.receive()
+			is.True(got.err != nil)
+			is.Equal(got.body, events(1, 3))
+			is.Equal(w.fresh["r1"], 1)
+		})
+	}
+}
+
+// Guards against a change for deployments that do not use copies: bytes of streams that may not be
+// resumed are forwarded as they come, nothing is copied, and a broken stream ends cut.
+func TestStreamsAreForwardedAsBeforeWithoutStandby(t *testing.T) {
+	is := is.New(t)
+	w := newEngines(t, 2)
+	w.fault(engineFault{at: 3, how: "end within"})
+	g := startStandby(t, w, feature.Off)
+	got := askStream(t, g, "/stream/")
+	is.True(got.err != nil)
+	is.Equal(got.body, events(1, 3)+event(4)[:9])
+	is.Equal(len(w.copies), 0)
+	is.Equal(len(w.moves), 0)
+}
+
+// Guards against two releases in one stream.
+func TestCopyLiesAtTheSameReleaseOnly(t *testing.T) {
+	is := is.New(t)
+	w := newEngines(t, 2)
+	w.fault(engineFault{at: 3, how: "end"})
+	g := startStandby(t, w, feature.On)
+	eps := listed(w.bs...)
+	eps[0].Release, eps[1].Release = release.Name("v1"), release.Name("v2")
+	g.dir.replace(1, 2, eps)
+	is.True(askStream(t, g, "/stream/").err != nil)
+	is.Equal(len(w.copies), 0)
+}
+
+// Guards against two runs at once: the answer is lost while the engine lives. It is asked to stop the
+// run, which ended there with its connection, and a route for one endpoint allows no other beside it.
+func TestBrokenStreamOfALivingEngineEndsCut(t *testing.T) {
+	is := is.New(t)
+	w := newEngines(t, 3)
+	w.fault(engineFault{at: 3, how: "reset"})
+	g := startStandby(t, w, feature.On)
+	got := askStream(t, g, "/stream/")
+	is.True(got.err != nil)
+	is.Equal(got.body, events(1, 3))
+	is.Equal(w.fresh["r1"], 1)
+	is.Equal(len(w.moves), 1)
+}
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -18,7 +18,7 @@
 // maxEvent bounds one event of a stream that may be resumed, in bytes.
 const maxEvent = 256 << 10
 
-// forwardStream forwards a stream of events. One that may be resumed is forwarded in
+// forwardStream forwards a stream of events. One that may go on elsewhere is forwarded in
 // whole events only: another endpoint continues with the next event, and a partial
 // event before it would corrupt the stream.
 func (x *exchange) forwardStream(e *endpoint, resp *http1.Response) (result, error) {
@@ -27,7 +27,7 @@
 		resp.Abort()
 		return result{outcome: abandoned, final: true}, nil
 	}
-	if x.route.Resumable {
+	if x.route.Resumable || x.standby {
 		return x.forwardWholeEvents(e, resp)
 	}
 	var events ending.Events
