Silent streams are taken from their engine and go on, never with two runs

A watch per attempt asks the source on a new connection to stop and hand over the run once silence exceeds what objective, pause, the stream's own pace and the load there explain. The connection stays open meanwhile: a request that waits in the engine's queue stays. Where the route allows no other endpoint beside a living one, the run goes on at the source itself, also where no other engine holds the model. Ids that count up by one show an event that is missing after the change.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -54,7 +54,8 @@
 		x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(e.ID)).Stringer("reason", reason).Msg("send_withheld")
 		return result{notRun: true, notSent: true, outcome: withheld}
 	}
-	cc.AbortOn(ctx)
+	cc.AbortOn(x.watchSilence(ctx, e))
+	defer x.endWatch()
 	x.logSent(e, cc)
 	h := http1.EndToEnd(x.r.Header)
 	x.g.cfg.Dialect.WriteRequest(h, ForwardFields{TimeLeft: time.Until(x.deadline), Endpoint: e.Name(), Priority: x.requester.priority(x.route), LastEvent: x.lastEvent,
@@ -62,6 +63,7 @@
 	sent := time.Now()
 	x.sentAt, x.firstEventAt, x.status = sent, time.Time{}, 0
 	cc.Send(x.r.Method, x.r.Target, x.r.Host, h, x.r.Body)
+	x.watch.sent(sent)
 	resp, v, err := x.receive(cc, e)
 	x.g.dir.sendEnded(e, sending, err == nil && !v.NotRun, v.NotRun && !v.ModelMissing && !v.WrongEndpoint)
 	if err != nil {
--- a/internal/app/gateway/ending.go
+++ b/internal/app/gateway/ending.go
@@ -56,6 +56,9 @@
 // endpoint sent none: they show the caller when this entry ends within a stream. Their last one is
 // sent for a stream that ended between two events, at an endpoint that lives on or leaves as planned.
 func (x *exchange) endStream(e *endpoint, resp *http1.Response, content ending.Content) (result, error) {
+	if x.watch.taken() != nil {
+		return result{}, errBrokenOff // the run was stopped here to go on elsewhere
+	}
 	end := x.judge(e, resp, nil, content)
 	if end.verdict == ending.BrokenOff || end.verdict == ending.Unknown && end.process == ending.NotChecked && !x.g.dir.isLeaving(e) {
 		return result{}, errBrokenOff
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -83,6 +83,9 @@
 	copy            *protection      // of the memory of its run; nil if there is none
 	goOnFrom        string           // copy from which the attempt in progress goes on; "" for none
 	goneOn          int              // times that its run went on
+	order           eventOrder       // of its stream
+	watch           *silenceWatch    // of the attempt in progress; nil if it has none
+	rescue          *goOnPlan        // how the run goes on that the watch has taken from its source
 }
 
 // answer is a complete answer of an endpoint.
--- a/internal/app/gateway/moves.go
+++ b/internal/app/gateway/moves.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/standby"
 )
 
@@ -33,18 +34,24 @@
 	ErrNotReached = errors.New("no connection to the endpoint")
 )
 
-// moveTarget returns the endpoint to which a run at e can be moved, nil if there is none.
-func (x *exchange) moveTarget(e *endpoint) *endpoint {
+// moveTarget returns the endpoint to which a run at e can be moved, and whether the run can go on there;
+// nil if there is none. Where no other endpoint holds the model, any takes the memory while the run goes
+// on at its source.
+func (x *exchange) moveTarget(e *endpoint) (target *endpoint, holds bool) {
 	en := x.engine()
 	if en == nil || !en.Moves {
-		return nil
+		return nil, false
 	}
-	eps, holders := x.g.dir.holders(time.Now(), e, x.info.Want, x.tried)
-	i := standby.Target(holders, func(h standby.Holder) bool { return x.copy != nil && x.copy.holder.ID == h.ID })
-	if i < 0 {
-		return nil
+	now := time.Now()
+	eps, holders := x.g.dir.holders(now, e, x.info.Want, x.tried)
+	if i := standby.Target(holders, func(h standby.Holder) bool { return x.copy != nil && x.copy.holder.ID == h.ID }); i >= 0 {
+		return eps[i], true
 	}
-	return eps[i]
+	eps, holders = x.g.dir.holders(now, e, fleet.Want{}, nil)
+	if i := standby.Target(holders, func(standby.Holder) bool { return false }); i >= 0 {
+		return eps[i], false
+	}
+	return nil, false
 }
 
 // moveRun asks the source to stop the run and hand it over, and sets the result.
@@ -84,6 +91,6 @@
 		p.move, result = standby.NotStopped, "not_stopped"
 	}
 	x.g.metrics.countMoved(result)
-	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("source", string(e.ID)).Str("target", string(target.ID)).Str("result", result).Int("made", m.Made).Int("events", x.eventsSent).
+	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("source", string(e.ID)).Str("target", string(target.ID)).Str("result", result).Int("made", m.Made).Int("events", p.events).Dur("silent", p.silent).
 		Dur("took", time.Since(asked)).Err(err).Msg("run_moved")
 }
--- a/internal/app/gateway/standby.go
+++ b/internal/app/gateway/standby.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
-	"github.com/cassiapass/cassiapass/internal/core/ending"
 	"github.com/cassiapass/cassiapass/internal/core/feature"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/standby"
@@ -120,7 +119,7 @@
 }
 
 // holders returns the endpoints that can hold the memory of a run at e and go on with it: on other
-// hosts, of the same release, with the same version of the model. Endpoints that leave, fail or cannot
+// hosts, of the same release, with the same version of the model if one is wanted. Endpoints that leave, fail or cannot
 // be reached are left out.
 func (d *directory) holders(now time.Time, e *endpoint, want fleet.Want, tried map[fleet.EndpointID]bool) ([]*endpoint, []standby.Holder) {
 	d.mu.Lock()
@@ -133,7 +132,7 @@
 		if o.Service != e.Service || o.Release != e.Release || o.removed || d.leaves(o) || tried[o.ID] || hostOf(o.Addr) == host {
 			continue
 		}
-		if !o.holds(want) || o.versionOf(want.Model) != version || now.Sub(o.missingAt[want]) < missingModelTTL || o.failureShareAt(now) >= avoidedFailures {
+		if want.Model != "" && !o.holds(want) || o.versionOf(want.Model) != version || now.Sub(o.missingAt[want]) < missingModelTTL || o.failureShareAt(now) >= avoidedFailures {
 			continue
 		}
 		eps = append(eps, o)
@@ -202,8 +201,10 @@
 		if next.notRun {
 			return e, res
 		}
-		x.tried[e.ID] = true
-		x.ran++
+		if p.at != e {
+			x.tried[e.ID] = true
+			x.ran++
+		}
 		e, res = p.at, next
 	}
 	return e, res
@@ -225,27 +226,51 @@
 	from   string    // names the copy, as in ForwardFields
 	handle string    // of a copy made by a move; "" if there is none
 	target *endpoint // of the move
+	events int       // that came before
+	silent time.Duration
 }
 
 // planGoOn decides where a run goes on that broke off at e. The connection to e is closed.
 func (x *exchange) planGoOn(ctx context.Context, e *endpoint) goOnPlan {
-	b := standby.Break{Copy: x.copyUsable(e), MayRepeat: x.route.MayRepeat(), AnotherAllowed: x.ran+1 < x.route.Attempts, Left: time.Until(x.deadline)}
-	p := goOnPlan{source: x.sourceState(e)}
+	if x.rescue != nil {
+		p := *x.rescue
+		x.rescue = nil
+		return p
+	}
+	p := goOnPlan{source: x.sourceState(e), events: x.eventsSent}
+	b := x.breakAt(e)
 	b.Source = p.source
-	target := x.moveTarget(e)
+	target, holds := x.moveTarget(e)
 	b.CanMove = target != nil
+	b.AnotherAllowed = b.AnotherAllowed && (holds || !b.CanMove)
+	x.decide(ctx, e, target, b, &p)
+	return p
+}
+
+// breakAt returns what is known of a break without asking the source.
+func (x *exchange) breakAt(e *endpoint) standby.Break {
+	return standby.Break{Copy: x.copyUsable(e), MayRepeat: x.route.MayRepeat(), AnotherAllowed: x.anotherAllowed(e), Left: time.Until(x.deadline)}
+}
+
+// anotherAllowed reports whether the run may go on beside a source that lives on. One that leaves ends
+// while the run goes on.
+func (x *exchange) anotherAllowed(e *endpoint) bool {
+	return !goOnCountsAsAttempt || x.ran+1 < x.route.Attempts || x.g.dir.isLeaving(e)
+}
+
+// goOnCountsAsAttempt tells whether a run that goes on at another endpoint counts towards the route's
+// number of endpoints while its source lives on. The platform's pages call it the same run, on any
+// route, but also bound the endpoints that a request is sent to; this is the closer reading.
+const goOnCountsAsAttempt = true
+
+// decide sets what to do about a break, and where the run goes on.
+func (x *exchange) decide(ctx context.Context, e, target *endpoint, b standby.Break, p *goOnPlan) {
 	p.action = standby.Decide(b)
 	if p.action == standby.MoveThenGoOn {
-		x.moveRun(ctx, e, target, &p)
+		x.moveRun(ctx, e, target, p)
 		b.Move, b.Left = p.move, time.Until(x.deadline)
 		p.action = standby.Decide(b)
 	}
-	x.place(e, &p)
-	return p
-}
-
-// place sets where and from what the run goes on, after the action is decided.
-func (x *exchange) place(e *endpoint, p *goOnPlan) {
 	switch p.action {
 	case standby.GoOnFromCopy:
 		p.at, p.from = x.copy.holder, x.copy.holder.Addr+"/"+x.info.ID
@@ -261,33 +286,15 @@
 	return x.copy != nil && x.copy.source == e && !x.g.dir.isLeaving(x.copy.holder)
 }
 
-// sourceState finds out whether the endpoint whose connection broke still lives. The check shares its
-// result with other streams that broke off in the same moment.
-func (x *exchange) sourceState(e *endpoint) standby.Source {
-	if x.g.dir.isRemoved(e) {
-		return standby.Ended
-	}
-	switch x.g.liveness.check(e.ID, e.Addr, time.Now().Add(-brokeTogether)) {
-	case ending.Gone:
-		return standby.Ended
-	case ending.Alive:
-		return standby.Alive
-	}
-	return standby.Unreachable
-}
-
-func (d *directory) isRemoved(e *endpoint) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return e.removed
-}
-
 // attemptGoOn sends the request to where its run goes on.
 func (x *exchange) attemptGoOn(ctx context.Context, p goOnPlan) result {
 	x.goneOn++
 	x.sends++
 	x.lastEndpoint = p.at.ID
 	x.goOnFrom = p.from
+	if p.at != p.target {
+		x.freeHandle(p)
+	}
 	res := x.attempt(ctx, p.at)
 	x.goOnFrom = ""
 	if !res.notSent {
@@ -297,7 +304,7 @@
 	if res.notSent {
 		x.g.dir.returnPermit(p.at, x.waiter)
 	}
-	if res.notRun || p.at != p.target {
+	if res.notRun && p.at == p.target {
 		x.freeHandle(p)
 	}
 	x.unprotect()
@@ -329,7 +336,7 @@
 		x.g.metrics.runGap.Update(gap.Seconds())
 	}
 	x.g.cfg.Log.Info().Str("request", x.info.ID).Stringer("action", p.action).Str("source", string(source.ID)).Str("at", string(p.at.ID)).Uint8("source_state", uint8(p.source)).
-		Uint8("move", uint8(p.move)).Int("events_before", before).Int("events", x.eventsSent).Str("last_event", x.lastEvent).Dur("gap", gap).Dur("sent_ago", time.Since(x.arrived)).Str("outcome", outcome).Msg("run_gone_on")
+		Uint8("move", uint8(p.move)).Dur("silent", p.silent).Int("events_before", before).Int("events", x.eventsSent).Str("last_event", x.lastEvent).Dur("gap", gap).Dur("sent_ago", time.Since(x.arrived)).Str("outcome", outcome).Msg("run_gone_on")
 }
 
 func (x *exchange) logNotGoneOn(e *endpoint, p goOnPlan) {
--- a/internal/app/gateway/standby_test.go
+++ b/internal/app/gateway/standby_test.go
@@ -19,13 +19,16 @@
 	"github.com/cassiapass/cassiapass/internal/core/release"
 )
 
+// minQueued is longer than an endpoint may be silent.
+const minQueued = 900 * time.Millisecond
+
 // lastPiece is the number of events of a run of the fake engines.
 const lastPiece = 6
 
 // engineFault is what an engine does to the runs that begin there.
 type engineFault struct {
 	at   int    // after this many events; the fault happens once
-	how  string // "end", "end within", "reset", "mute"
+	how  string // "end", "end within", "reset", "mute", "dark" (mute, and takes no connections), "queue"
 	used bool
 }
 
@@ -38,14 +41,16 @@
 	faults   map[string]*engineFault // by address
 	copies   map[string]bool         // HOLDER/REQUEST, or SOURCE/HANDLE
 	noCopies bool
+	skip     bool              // runs that go on leave one event out
 	fresh    map[string]int    // runs begun without a copy, by request
 	running  map[string]string // address at which a request runs
 	stop     map[string]chan struct{}
 	moves    []string
+	dark     map[string]bool // addresses that cannot be reached
 }
 
 func newEngines(t *testing.T, n int) *engines {
-	w := &engines{t: t, faults: map[string]*engineFault{}, copies: map[string]bool{}, fresh: map[string]int{}, running: map[string]string{}, stop: map[string]chan struct{}{}}
+	w := &engines{t: t, faults: map[string]*engineFault{}, copies: map[string]bool{}, fresh: map[string]int{}, running: map[string]string{}, stop: map[string]chan struct{}{}, dark: map[string]bool{}}
 	for range n {
 		var b *fakeEndpoint
 		b = newFakeEndpoint(t, func(_ *bufio.Reader, c net.Conn, r *http.Request, _ []byte) bool { return w.serve(b, c, r) })
@@ -118,9 +123,16 @@
 		return reply(c, r, http.StatusServiceUnavailable, "", "Not-Run: 1")
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if w.takeFault(addr, -1) == "mute" { // neither head nor events
+	if w.skip && last > 0 {
+		last++
+	}
+	switch w.takeFault(addr, -1) { // before the head
+	case "mute":
 		<-stop
 		return false
+	case "queue": // not begun yet
+		w.end(id, false)
+		time.Sleep(minQueued)
 	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, addr)
 	for i := last; ; i++ {
@@ -137,6 +149,13 @@
 		case "reset":
 			w.end(id, false) // as engines do whose connection is closed
 			return false
+		case "dark":
+			w.mu.Lock()
+			w.dark[addr] = true
+			delete(w.running, id) // a host that has ended without closing its connections
+			w.mu.Unlock()
+			<-stop
+			return false
 		case "mute":
 			<-stop
 			return false
@@ -157,6 +176,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.moves = append(w.moves, request)
+	if w.dark[source] {
+		return MovedRun{}, ErrNotReached
+	}
 	if w.running[request] != source || !last {
 		return MovedRun{}, ErrNoRun
 	}
@@ -169,6 +191,13 @@
 	return MovedRun{Handle: "h1"}, nil
 }
 
+// asked returns how often an engine was asked to move a run.
+func (w *engines) asked() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.moves)
+}
+
 // FreeCopy implements RunMover.
 func (w *engines) FreeCopy(_ context.Context, addr, handle string) error {
 	w.mu.Lock()
@@ -287,6 +316,8 @@
 			got := c.receive()
 			is.True(got.err != nil)
 			is.Equal(got.body, events(1, 3))
+			w.mu.Lock()
+			defer w.mu.Unlock()
 			is.Equal(w.fresh["r1"], 1)
 		})
 	}
@@ -303,7 +334,7 @@
 	is.True(got.err != nil)
 	is.Equal(got.body, events(1, 3)+event(4)[:9])
 	is.Equal(len(w.copies), 0)
-	is.Equal(len(w.moves), 0)
+	is.Equal(w.asked(), 0)
 }
 
 // Guards against two releases in one stream.
@@ -330,5 +361,102 @@
 	is.True(got.err != nil)
 	is.Equal(got.body, events(1, 3))
 	is.Equal(w.fresh["r1"], 1)
-	is.Equal(len(w.moves), 1)
+	is.Equal(w.asked(), 1)
+}
+
+// Guards against callers that leave a silent stream while its engine works on: the run is stopped there
+// and goes on, at the engine itself where the route allows no other beside it.
+func TestSilentRunGoesOn(t *testing.T) {
+	for _, c := range []struct {
+		path, how string
+		at        int
+		engines   int // at which the request arrives
+	}{
+		{"/stream/", "mute", -1, 1}, {"/stream/", "mute", 0, 1}, {"/stream/", "mute", 3, 1}, {"/resume/", "mute", 3, 2},
+		{"/stream/", "dark", 0, 2}, {"/stream/", "dark", 3, 2}, {"/stream/", "queue", -1, 1},
+	} {
+		t.Run(fmt.Sprint(c.path, c.how, c.at), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newEngines(t, 3)
+			w.fault(engineFault{at: c.at, how: c.how})
+			g := startStandby(t, w, feature.On)
+			got := askStream(t, g, c.path)
+			is.NoErr(got.err)
+			is.Equal(got.body, events(1, lastPiece))
+			is.Equal(copiesLeft(g), 0)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			is.Equal(w.fresh["r1"], 1)
+			n := 0
+			for _, b := range w.bs {
+				n += min(1, b.arrivals())
+			}
+			is.Equal(n, c.engines)
+		})
+	}
+}
+
+// Guards against a model that only one engine holds: a silent run there goes on at that engine, its
+// memory handed to one that cannot run it, or to none.
+func TestSilentRunGoesOnAtTheOnlyHolder(t *testing.T) {
+	for _, noCopies := range []bool{false, true} {
+		is := is.New(t)
+		w := newEngines(t, 2)
+		w.noCopies = noCopies
+		w.fault(engineFault{at: 3, how: "mute"})
+		g := startStandby(t, w, feature.On)
+		eps := listed(w.bs...)
+		eps[1].Held = nil
+		g.dir.replace(1, 2, eps)
+		got := askStream(t, g, "/stream/")
+		is.NoErr(got.err)
+		is.Equal(got.body, events(1, lastPiece))
+		is.Equal(w.bs[0].arrivals(), 2)
+	}
+}
+
+// Guards against moves without the feature.
+func TestSilentRunStaysWithoutStandby(t *testing.T) {
+	is := is.New(t)
+	w := newEngines(t, 2)
+	w.fault(engineFault{at: 3, how: "mute"})
+	g := startStandby(t, w, feature.Off)
+	c := dial(t, g)
+	c.send("POST", "/stream/", "r1", "x", "Model: m", "Output: 100")
+	time.Sleep(minQueued)
+	is.Equal(w.asked(), 0)
+	w.mu.Lock()
+	close(w.stop["r1"])
+	w.mu.Unlock()
+	is.True(c.receive().err != nil)
+}
+
+func TestMissingEventsAreSeenWhereIdsCount(t *testing.T) {
+	for _, c := range []struct {
+		ids     string
+		missing bool // at the last one
+	}{
+		{"1 2 3", false}, {"1 2 4", true}, {"7 8 9 11", true}, {"1 3", false}, {"1 3 5 9", false}, {"a 1 2 4", false}, {"1 2 x", false}, {"", false},
+	} {
+		var o eventOrder
+		missing := false
+		for _, id := range strings.Fields(c.ids) {
+			missing = o.next(id)
+		}
+		if missing != c.missing {
+			t.Errorf("%q: %v", c.ids, missing)
+		}
+	}
+}
+
+// Guards against a gap in a stream: the holder goes on after a later event than the caller has.
+func TestRunThatGoesOnWithAGapEndsCut(t *testing.T) {
+	is := is.New(t)
+	w := newEngines(t, 2)
+	w.skip = true
+	w.fault(engineFault{at: 3, how: "end"})
+	got := askStream(t, startStandby(t, w, feature.On), "/stream/")
+	is.True(got.err != nil)
+	is.Equal(got.body, events(1, 3))
 }
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -59,7 +59,11 @@
 		rest = append(rest, buf[:n]...)
 		whole := wholeEventsLen(rest)
 		x.countEvents(bytes.Count(rest[:whole], eventEnd))
-		if werr := x.writeEvents(rest[:whole]); werr != nil {
+		werr := x.writeEvents(rest[:whole])
+		if errors.Is(werr, errEventMissing) {
+			return result{}, werr
+		}
+		if werr != nil {
 			resp.Abort()
 			return result{outcome: abandoned, final: true}, nil
 		}
@@ -80,6 +84,7 @@
 // countEvents counts events of the newest answer.
 func (x *exchange) countEvents(n int) {
 	x.eventsSent += n
+	x.watch.event(n)
 	if n > 0 {
 		x.bindRelease()
 	}
@@ -104,6 +109,9 @@
 			continue
 		}
 		if has {
+			if missing := x.order.next(id); missing && x.goOnFrom != "" {
+				return errEventMissing
+			}
 			x.lastEvent = id
 		}
 		out = append(out, event...)
