Runs are moved from an engine whose removal is announced

Cause: an engine that is taken away at 2 s notice cut the runs that could not end. The leader passes on how long it stays (Endpoint.RemovedIn, optional); entries move the runs that need longer, the most urgent first, four at once, first copied while they run, then stopped. A run that no engine has room for stays. Ruled out: moving at a plain drain, whose end nobody names: runs end there, or go on from their copies. Test: too soon, in time, no room elsewhere; order of urgency as a table.

--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -41,6 +41,7 @@
 	modelIdle        chan struct{}                                           // signalled when the last request here for a model with one holder has ended
 	etas             map[string]time.Time                                    // for a model that no endpoint holds, the earliest time at which one will
 	onRemoved        func(e fleet.EndpointID, planned bool)                  // called for each removed incarnation; may be nil
+	onRemoval        func(e *endpoint, in time.Duration)                     // called when the removal of an endpoint is announced; may be nil
 	onListed         func(now time.Time, eps map[fleet.EndpointID]*endpoint) // called with the endpoints known; may be nil
 	limits           *allowance.PermitClient
 	notices          *notice.Book
@@ -152,9 +153,11 @@
 	if !known {
 		d.logEvent(ep, "endpoint_up")
 		d.byID[ep.ID] = &endpoint{Endpoint: ep, missingAt: map[fleet.Want]time.Time{}, counts: map[fleet.Want]*runCounts{}}
+		d.setRemoval(d.byID[ep.ID], ep.RemovedIn)
 		return
 	}
 	e.removed = false
+	d.setRemoval(e, ep.RemovedIn)
 	if ep.Leaving && !e.Leaving {
 		d.logEvent(ep, "endpoint_leaving")
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -114,7 +114,7 @@
 	g.sync = newSyncer(g)
 	g.allowances = newAllowances(g)
 	g.streams = newStreams(g)
-	g.dir.onListed = g.streams.listed
+	g.dir.onListed, g.dir.onRemoval = g.streams.listed, g.moveRunsFrom
 	go g.accept()
 	go g.sync.pull(ctx)
 	go g.sync.report(ctx)
--- a/internal/app/gateway/moves.go
+++ b/internal/app/gateway/moves.go
@@ -54,8 +54,9 @@
 	return nil, false
 }
 
-// moveRun asks the source to stop the run and hand it over, and sets the result.
-func (x *exchange) moveRun(ctx context.Context, e, target *endpoint, p *goOnPlan) {
+// moveRun asks the source to copy the memory of the run to the target, with last to stop the run first,
+// and sets the result.
+func (x *exchange) moveRun(ctx context.Context, e, target *endpoint, last bool, p *goOnPlan) {
 	s := &x.g.standbys
 	s.mu.Lock()
 	begun := s.rescues.Begin(e.ID)
@@ -73,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	asked := time.Now()
-	m, err := x.g.cfg.Runs.MoveRun(ctx, e.Addr, x.info.ID, target.Addr, true)
+	m, err := x.g.cfg.Runs.MoveRun(ctx, e.Addr, x.info.ID, target.Addr, last)
 	p.target, p.handle = target, m.Handle
 	result := "moved"
 	switch {
@@ -91,6 +92,6 @@
 		p.move, result = standby.NotStopped, "not_stopped"
 	}
 	x.g.metrics.countMoved(result)
-	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("source", string(e.ID)).Str("target", string(target.ID)).Str("result", result).Int("made", m.Made).Int("events", p.events).Dur("silent", p.silent).
+	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("source", string(e.ID)).Str("target", string(target.ID)).Str("result", result).Bool("last", last).Int("made", m.Made).Int("events", p.events).Dur("silent", p.silent).
 		Dur("took", time.Since(asked)).Err(err).Msg("run_moved")
 }
--- a/internal/app/gateway/silence.go
+++ b/internal/app/gateway/silence.go
@@ -14,7 +14,7 @@
 // errRescued is the cancellation cause of an attempt whose run goes on elsewhere.
 var errRescued = errors.New("the run goes on elsewhere")
 
-// silenceWatch rescues the run of one attempt that brings no events. The connection stays open while
+// silenceWatch rescues the run of one attempt that brings no events, or whose endpoint is removed. The connection stays open while
 // the source is asked, so that a wrong suspicion changes nothing.
 type silenceWatch struct {
 	x      *exchange
@@ -54,7 +54,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.last = now
-	w.timer = time.AfterFunc(standby.SilenceLimit(w.pace()), w.check)
+	w.timer = time.AfterFunc(w.limit(), w.check)
+	w.x.g.standbys.watchRun(w)
 }
 
 // event records events that came.
@@ -71,17 +72,17 @@
 	w.events += n
 }
 
-// end ends the watch, after the source has answered a question in progress, and keeps how the run goes
-// on.
+// endWatch ends the watch, after the source has answered a question in progress, and keeps how the run
+// goes on.
 func (x *exchange) endWatch() {
 	w := x.watch
 	if w == nil {
 		return
 	}
-	x.rescue = w.taken()
-	w.mu.Lock()
+	x.g.standbys.unwatchRun(w)
+	w.lockAnswered()
 	defer w.mu.Unlock()
-	w.over = true
+	x.rescue, w.over = w.plan, true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
@@ -93,17 +94,24 @@
 	if w == nil {
 		return nil
 	}
-	w.mu.Lock()
-	asking := w.asking
-	w.mu.Unlock()
-	if asking != nil {
-		<-asking
-	}
-	w.mu.Lock()
+	w.lockAnswered()
 	defer w.mu.Unlock()
 	return w.plan
 }
 
+// lockAnswered locks mu when no question to the source is in progress.
+func (w *silenceWatch) lockAnswered() {
+	for {
+		w.mu.Lock()
+		asking := w.asking
+		if asking == nil {
+			return
+		}
+		w.mu.Unlock()
+		<-asking
+	}
+}
+
 // pace returns what the silence is measured by. The caller holds mu.
 func (w *silenceWatch) pace() standby.Pace {
 	r := w.x.route
@@ -121,16 +129,20 @@
 	return load(e)
 }
 
+// limit returns how long the source may be silent. Each question without a result doubles it. The caller
+// holds mu.
+func (w *silenceWatch) limit() time.Duration {
+	return standby.SilenceLimit(w.pace()) << min(w.asked, maxDoublings)
+}
+
 // check asks the source to hand over the run if it has been silent for too long.
 func (w *silenceWatch) check() {
 	w.mu.Lock()
-	if w.over || w.plan != nil {
+	if w.over || w.plan != nil || w.asking != nil {
 		w.mu.Unlock()
 		return
 	}
-	// Each question without a result doubles the time until the next one.
-	limit := standby.SilenceLimit(w.pace()) << min(w.asked, maxDoublings)
-	if left := limit - time.Since(w.last); left > 0 {
+	if left := w.limit() - time.Since(w.last); left > 0 {
 		w.timer.Reset(left)
 		w.mu.Unlock()
 		return
@@ -139,8 +151,11 @@
 	events, silent := w.events, time.Since(w.last)
 	w.mu.Unlock()
 
-	p := w.x.planRescue(w.ctx, w.e, events, silent)
+	w.answered(w.x.planRescue(w.ctx, w.e, events, silent))
+}
 
+// answered ends a question to the source, after which the run goes on elsewhere or stays.
+func (w *silenceWatch) answered(p goOnPlan) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	close(w.asking)
@@ -149,7 +164,7 @@
 	switch {
 	case p.action == standby.KeepWaiting, p.action == standby.EndCut:
 		if !w.over {
-			w.timer.Reset(limit)
+			w.timer.Reset(w.limit())
 		}
 	default:
 		w.plan = &p
--- a/internal/app/gateway/standby.go
+++ b/internal/app/gateway/standby.go
@@ -31,7 +31,8 @@
 	mu      sync.Mutex
 	ledger  standby.Ledger
 	rescues standby.Rescues[fleet.EndpointID]
-	sampled atomic.Uint64 // runs protected, for the log
+	watched map[fleet.EndpointID]map[*silenceWatch]bool // attempts in progress
+	sampled atomic.Uint64                               // runs protected, for the log
 }
 
 // protection is the copy of one run's memory.
@@ -267,7 +268,7 @@
 func (x *exchange) decide(ctx context.Context, e, target *endpoint, b standby.Break, p *goOnPlan) {
 	p.action = standby.Decide(b)
 	if p.action == standby.MoveThenGoOn {
-		x.moveRun(ctx, e, target, p)
+		x.moveRun(ctx, e, target, true, p)
 		b.Move, b.Left = p.move, time.Until(x.deadline)
 		p.action = standby.Decide(b)
 	}
--- a/internal/app/gateway/standby_test.go
+++ b/internal/app/gateway/standby_test.go
@@ -28,7 +28,7 @@
 // engineFault is what an engine does to the runs that begin there.
 type engineFault struct {
 	at   int    // after this many events; the fault happens once
-	how  string // "end", "end within", "reset", "mute", "dark" (mute, and takes no connections), "queue"
+	how  string // "end", "end within", "reset", "mute", "dark" (mute, and takes no connections), "queue", "pause"
 	used bool
 }
 
@@ -159,6 +159,12 @@
 		case "mute":
 			<-stop
 			return false
+		case "pause":
+			select {
+			case <-stop:
+				return false
+			case <-time.After(300 * time.Millisecond):
+			}
 		}
 		if i == lastPiece {
 			break
@@ -179,9 +185,15 @@
 	if w.dark[source] {
 		return MovedRun{}, ErrNotReached
 	}
-	if w.running[request] != source || !last {
+	if w.running[request] != source {
 		return MovedRun{}, ErrNoRun
 	}
+	if !last {
+		if w.noCopies {
+			return MovedRun{}, ErrNoRoom
+		}
+		return MovedRun{Handle: "h1"}, nil
+	}
 	close(w.stop[request])
 	delete(w.running, request)
 	w.copies[source+"/h1"] = true
@@ -460,3 +472,36 @@
 	is.True(got.err != nil)
 	is.Equal(got.body, events(1, 3))
 }
+
+// Guards against streams that are cut at an engine whose removal was announced. Runs that can end there
+// stay, as do those that no other engine has room for.
+func TestRunsAreMovedFromAnEngineThatIsRemoved(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		stays    time.Duration
+		noCopies bool
+		moved    bool
+	}{{"too soon", 500 * time.Millisecond, false, true}, {"in time", 10 * time.Second, false, false}, {"no room elsewhere", 500 * time.Millisecond, true, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newEngines(t, 2)
+			w.noCopies = c.noCopies
+			w.fault(engineFault{at: 3, how: "pause"})
+			g := startStandby(t, w, feature.On)
+			caller := dial(t, g)
+			caller.send("POST", "/stream/", "r1", "x", "Model: m", "Output: 100")
+			time.Sleep(50 * time.Millisecond)
+			eps := listed(w.bs...)
+			source := min(1, w.bs[1].arrivals())
+			eps[source].Leaving, eps[source].RemovedIn = true, c.stays
+			g.dir.replace(1, 2, eps)
+			got := caller.receive()
+			is.NoErr(got.err)
+			is.Equal(got.body, events(1, lastPiece))
+			is.Equal(w.bs[1-source].arrivals() > 0, c.moved)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			is.Equal(w.fresh["r1"], 1)
+		})
+	}
+}
--- a/internal/core/fleet/results.go
+++ b/internal/core/fleet/results.go
@@ -168,6 +168,9 @@
 	if r.Leaving {
 		e.saysLeaving = true
 		p.setLeaving(e, true)
+		if r.RemovedIn > 0 && e.ep.RemovedIn == 0 {
+			e.ep.RemovedIn, p.changed = r.RemovedIn, true
+		}
 	}
 	if r.Sequence < e.sequence {
 		// It was made before the newest order was accepted. Used as the current state, it
--- a/internal/core/standby/standby_test.go
+++ b/internal/core/standby/standby_test.go
@@ -262,3 +262,16 @@
 	is.Equal(hs[Target(hs, holds("full"))].ID, fleet.EndpointID("near"))
 	is.Equal(Target(hs[:1], holds("")), -1)
 }
+
+func TestDeparturesInOrderOfUrgency(t *testing.T) {
+	is := is.New(t)
+	runs := []Departing{
+		{Level: 1, Needs: time.Second, Caller: 5 * time.Second},
+		{Level: 0, Needs: 3 * time.Second, Caller: 9 * time.Second},
+		{Level: 0, Needs: 100 * time.Millisecond, Caller: 9 * time.Second}, // ends in time
+		{Level: 0, Needs: 3 * time.Second, Caller: 4 * time.Second},
+		{Level: 0, Needs: 3 * time.Second, Caller: MinLeft / 2}, // its caller leaves
+	}
+	is.Equal(Departures(time.Second, runs), []int{3, 1, 0})
+	is.Equal(len(Departures(10*time.Second, runs)), 0)
+}
