--- a/internal/app/gateway/pace.go
+++ b/internal/app/gateway/pace.go
@@ -220,7 +220,9 @@
 	now := time.Now()
 	if l.segmentAt.IsZero() {
 		l.segmentAt = now
-		x.g.dir.recordFirst(e, l, now.Sub(x.sentAt))
+		if x.goOnFrom == "" { // a run that goes on does not read its prompt
+			x.g.dir.recordFirst(e, l, now.Sub(x.sentAt))
+		}
 		return
 	}
 	l.segmentEvents += n
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -18,7 +18,7 @@
 // maxEvent bounds one event of a stream that may be resumed, in bytes.
 const maxEvent = 256 << 10
 
-// forwardStream forwards a stream of events. One that may be resumed is forwarded in
+// forwardStream forwards a stream of events. One that may go on elsewhere is forwarded in
 // whole events only: another endpoint continues with the next event, and a partial
 // event before it would corrupt the stream.
 func (x *exchange) forwardStream(e *endpoint, resp *http1.Response) (result, error) {
@@ -27,7 +27,7 @@
 		resp.Abort()
 		return result{outcome: abandoned, final: true}, nil
 	}
-	if x.route.Resumable {
+	if x.route.Resumable || x.standby {
 		return x.forwardWholeEvents(e, resp)
 	}
 	var events ending.Events
@@ -59,7 +59,11 @@
 		rest = append(rest, buf[:n]...)
 		whole := wholeEventsLen(rest)
 		x.countEvents(bytes.Count(rest[:whole], eventEnd))
-		if werr := x.writeEvents(rest[:whole]); werr != nil {
+		werr := x.writeEvents(rest[:whole])
+		if errors.Is(werr, errEventMissing) {
+			return result{}, werr
+		}
+		if werr != nil {
 			resp.Abort()
 			return result{outcome: abandoned, final: true}, nil
 		}
@@ -80,6 +84,7 @@
 // countEvents counts events of the newest answer.
 func (x *exchange) countEvents(n int) {
 	x.eventsSent += n
+	x.watch.event(n)
 	if n > 0 {
 		x.bindRelease()
 	}
@@ -105,6 +110,9 @@
 			continue
 		}
 		if has {
+			if missing := x.order.next(id); missing && x.goOnFrom != "" {
+				return errEventMissing
+			}
 			x.lastEvent = id
 		}
 		out = append(out, event...)
