Prepare replicas and copies for losses that may come

Each second the planner examines, for the loss of each engine, host, zone and of two holders, which models would be left with less than their demand needs, and issues at most one load for the costliest: a replica from a copy into memory beyond the headroom, or a copy from the store while that is idle, three within 75 s at most, none for the same model within 10 s. What a model in use gives up is chosen among models that can lose another engine first, and an engine with the only copies of models gets loads from the store last. A model whose last engine leaves gets another before a request waits for it.

Switch: feature.Foresight, Planner.SetForesight.

The simulation keeps 60 steps of reports, not 400: they lag by 10 steps.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -283,6 +283,7 @@
 	c.commitDueQuarantines(now)
 	c.publishNotices(now)
 	if c.listOK && c.fencedTerm != c.term && c.holding.recorded {
+		c.planner.SetForesight(c.enabled(feature.Foresight))
 		c.execute(c.planner.Plan(now))
 		c.met.observePlan(time.Since(now))
 	}
@@ -389,6 +390,7 @@
 	for _, refused := range w.Quarantined {
 		c.cfg.Log.Warn().Str("model", refused.Model).Str("adapter", refused.Adapter).Msg("load_quarantined")
 	}
+	c.logPrepared(w)
 	if len(w.Orders) > 0 {
 		go c.sendOrders(c.planner, c.term, w.Orders)
 	}
--- /dev/null
+++ b/internal/core/fleet/foresight.go
@@ -0,0 +1,287 @@
+package fleet
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// foresightInterval is the time between two examinations of what a loss would cost. A
+	// preparation takes 0.5 s and more, so nothing is gained by looking more often.
+	foresightInterval = time.Second
+	// mendFromCopy is the time until a model has another replica where an engine has a copy of
+	// it: an unload and a load from disk.
+	mendFromCopy = coldStart
+	// minForeseenCost is the cost, in requests that find no room after one loss, from which a
+	// preparation is worth a load: fewer requests wait for the mend without loss.
+	minForeseenCost = 5.0
+	// reportedShare is the share of the engines that must have reported before losses are judged.
+	reportedShare = 0.9
+)
+
+// lossKind is what may be lost at once.
+type lossKind string
+
+const (
+	lossOfEngine lossKind = "engine"
+	lossOfHost   lossKind = "host"
+	lossOfZone   lossKind = "zone"
+	lossOfPair   lossKind = "holders" // any two engines that hold a model
+)
+
+// likelihood returns how much the cost of a loss counts relative to that of one engine. Zones end
+// far less often, but then all mends wait for the store at once.
+func (k lossKind) likelihood() float64 {
+	switch k {
+	case lossOfZone:
+		return 0.5
+	case lossOfPair:
+		return 0.25
+	}
+	return 1
+}
+
+// loss names engines that may be lost together.
+type loss struct {
+	kind lossKind
+	name string
+}
+
+// String returns the loss for logs.
+func (l loss) String() string { return string(l.kind) + " " + l.name }
+
+// pairLoss is the loss of two engines that hold a model.
+var pairLoss = loss{lossOfPair, "two"}
+
+// shortfall is what the worst single loss would cost the requests for one model.
+type shortfall struct {
+	model string
+	loss  loss
+	// cost is the number of requests that would find no room until the mend, by their weight.
+	cost float64
+	// fromStore is set if the mend would need the weight store.
+	fromStore bool
+}
+
+// foresight holds what a planner knows of the losses that may come. Nil if it prepares for none.
+type foresight struct {
+	weight     func(model string) float64 // nil counts every request as 1
+	examinedAt time.Time
+	shortfalls []shortfall // of the last examination, the costliest first
+	preparing  preparations
+}
+
+// SetForesight sets whether replicas and copies are prepared for losses.
+func (p *Planner) SetForesight(on bool) {
+	switch {
+	case !on:
+		p.foresight = nil
+	case p.foresight == nil:
+		p.foresight = &foresight{}
+	}
+}
+
+// SetWeights sets how much a request for a model counts when losses are compared.
+func (p *Planner) SetWeights(weight func(model string) float64) {
+	if p.foresight != nil {
+		p.foresight.weight = weight
+	}
+}
+
+func (f *foresight) weightOf(name string) float64 {
+	if f.weight == nil {
+		return 1
+	}
+	return f.weight(name)
+}
+
+// prepare examines what each loss would cost and issues at most one preparation. It comes last
+// in a plan: what waits goes first.
+func (p *Planner) prepare(now time.Time, w *Work) {
+	f := p.foresight
+	if f == nil {
+		return
+	}
+	f.preparing.judge(now, p, w)
+	if now.Sub(f.examinedAt) < foresightInterval || !p.mostReported() {
+		return
+	}
+	f.examinedAt = now
+	f.shortfalls = p.foresee(now)
+	w.Foreseen = &Foreseen{Short: len(f.shortfalls)}
+	p.prepareOne(now, w)
+}
+
+// foresee returns the models that a single loss would leave short of engines, the costliest
+// first.
+func (p *Planner) foresee(now time.Time) []shortfall {
+	var out []shortfall
+	scratch := modelRoom{byLoss: map[loss]room{}, whole: p.onlyLosses()}
+	for name, m := range p.models {
+		if rate := p.rateToProtect(now, m); rate >= busyRate {
+			if s, short := p.shortfall(now, name, rate, &scratch); short {
+				out = append(out, s)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b shortfall) int { return cmp.Or(cmp.Compare(b.cost, a.cost), cmp.Compare(a.model, b.model)) })
+	return out
+}
+
+// room is what engines could do for a model.
+type room struct {
+	held   float64 // replicas, by pace
+	copies int     // engines that could load it from a copy
+}
+
+// modelRoom is the room for one model, in all and by what may be lost together.
+type modelRoom struct {
+	all     room
+	holders int
+	byLoss  map[loss]room
+	whole   map[loss]bool // losses that would leave no engine at all
+}
+
+func (r *modelRoom) reset() {
+	r.all, r.holders = room{}, 0
+	clear(r.byLoss)
+}
+
+func (r *modelRoom) add(e *engine, one room) {
+	sum := func(a room) room { return room{a.held + one.held, a.copies + one.copies} }
+	r.all = sum(r.all)
+	for _, l := range lossesOf(e) {
+		if l.name != "" && !r.whole[l] {
+			r.byLoss[l] = sum(r.byLoss[l])
+		}
+	}
+}
+
+// onlyLosses returns the losses that would take all engines: nothing can be prepared for them.
+func (p *Planner) onlyLosses() map[loss]bool {
+	all, by := 0, map[loss]int{}
+	for _, e := range p.engines {
+		if eng, _ := p.spec(e, ""); eng == nil || e.ep.Leaving {
+			continue
+		}
+		all++
+		for _, l := range lossesOf(e) {
+			by[l]++
+		}
+	}
+	out := map[loss]bool{}
+	for l, n := range by {
+		if n == all {
+			out[l] = true
+		}
+	}
+	return out
+}
+
+// mostReported reports whether enough engines have reported their copies to judge by. A new
+// leader would otherwise fetch copies that exist.
+func (p *Planner) mostReported() bool {
+	all, known := 0, 0
+	for _, e := range p.engines {
+		if eng, _ := p.spec(e, ""); eng == nil {
+			continue
+		}
+		all++
+		if e.known {
+			known++
+		}
+	}
+	return float64(known) >= reportedShare*float64(all)
+}
+
+// lossesOf returns the losses that would take an engine.
+func lossesOf(e *engine) [3]loss {
+	return [...]loss{{lossOfEngine, e.ep.Name()}, {lossOfHost, hostOf(e)}, {lossOfZone, string(e.ep.Zone)}}
+}
+
+// hostOf returns the address of an engine's host; "" if it is not known.
+func hostOf(e *engine) string {
+	a, err := netip.ParseAddrPort(e.ep.Addr)
+	if err != nil {
+		return ""
+	}
+	return a.Addr().String()
+}
+
+// shortfall returns what the worst single loss would cost the requests for a model, and whether
+// it would cost enough to matter. Engines that leave count as lost already.
+func (p *Planner) shortfall(now time.Time, name string, rate float64, r *modelRoom) (shortfall, bool) {
+	r.reset()
+	for _, e := range p.survey.holding[name] {
+		if e.has(Want{Model: name}) && e.usable(now) {
+			r.add(e, room{held: p.replicaPart(e, name)})
+			r.holders++
+		}
+	}
+	for e := range p.copies.engines(name) {
+		if _, held := e.held[name]; !held && p.couldLoad(now, e, name) {
+			r.add(e, room{copies: 1})
+		}
+	}
+	need := rate / p.ratePerReplica(name)
+	worst := shortfall{model: name}
+	if r.holders > 1 {
+		r.byLoss[pairLoss] = room{held: 2 * r.all.held / float64(r.holders)}
+	}
+	for l, lost := range r.byLoss {
+		left := room{r.all.held - lost.held, r.all.copies - lost.copies}
+		cost, fromStore := p.lossCost(name, rate, need, left)
+		cost *= p.foresight.weightOf(name) * l.kind.likelihood()
+		if cost > worst.cost || cost == worst.cost && compareLosses(l, worst.loss) < 0 {
+			worst = shortfall{name, l, cost, fromStore}
+		}
+	}
+	return worst, worst.cost >= minForeseenCost
+}
+
+func compareLosses(a, b loss) int {
+	return cmp.Or(cmp.Compare(a.kind, b.kind), cmp.Compare(a.name, b.name))
+}
+
+// replicaPart returns how much of a replica an engine is that holds a model.
+func (p *Planner) replicaPart(e *engine, name string) float64 {
+	return max(1-p.replicaLoss(e, name), 0) / p.pace(e)
+}
+
+// couldLoad reports whether an engine that has a copy of a model could load it soon. It need not
+// be idle: an order for a load from disk ends within a second.
+func (p *Planner) couldLoad(now time.Time, e *engine, name string) bool {
+	eng, m := p.spec(e, name)
+	if m == nil || !e.usable(now) || (e.order != nil && e.order.Source == FromStore) {
+		return false
+	}
+	if e.order != nil {
+		return true
+	}
+	c := p.capacity(now, e, eng)
+	free := c.free
+	for _, v := range c.victims {
+		free += eng.Models[v.name].Megabytes
+	}
+	return free >= m.Megabytes
+}
+
+// lossCost returns how many requests for a model would find no room, given what a loss leaves,
+// and whether the mend would need the store.
+func (p *Planner) lossCost(name string, rate, need float64, left room) (cost float64, fromStore bool) {
+	short := need - left.held
+	if short <= 0 {
+		return 0, false
+	}
+	// What is left runs at up to 1/Crowded times the rate for which replicas are planned.
+	without := max(rate-left.held*p.ratePerReplica(name)/p.cfg.Crowded, 0)
+	mended := min(float64(left.copies), short)
+	store := short - mended
+	// A part of a replica that no copy brings matters only if nothing else serves the model.
+	if store < 0.5 && left.held+mended > 0 {
+		return without * mendFromCopy.Seconds(), false
+	}
+	return without * (mended*mendFromCopy.Seconds() + store*p.storeLoadTime(name).Seconds()) / short, true
+}
--- /dev/null
+++ b/internal/core/fleet/foresight_test.go
@@ -0,0 +1,253 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiapass/cassiapass/internal/core/ident"
+)
+
+// traffic plays requests at constant rates against a simulation. Engines that hold a model share
+// its requests; each stays a second.
+type traffic struct {
+	*simulation
+	rates     map[string]float64 // requests a second
+	due       map[string]float64 // parts of requests that have not arrived yet
+	without   map[string]float64 // seconds in which requests for a model found no room
+	steps     int
+	leaving   map[EndpointID]bool
+	storeTurn *simStore
+}
+
+// lossFleet returns a fleet of engines in three zones. The first busy models lie on many disks,
+// all others on one.
+func lossFleet(seed uint64, engines, models, busy int, foresight bool) *traffic {
+	s := newSimulation(seed, engines, models, 0)
+	t := &traffic{simulation: s, rates: map[string]float64{}, due: map[string]float64{}, without: map[string]float64{}, leaving: map[EndpointID]bool{}, storeTurn: &simStore{limit: 2}}
+	for i, e := range s.byID() {
+		e.ep.Zone, e.ep.Slots, e.store = ident.Zone(fmt.Sprintf("z%d", i%3)), 48, t.storeTurn
+		clear(e.disk)
+		for m := range busy {
+			if (i+m)%5 == 0 {
+				e.disk[fmt.Sprintf("m%d", m)] = true
+			}
+		}
+	}
+	all := s.byID()
+	for m := busy; m < models; m++ {
+		all[s.r.IntN(engines)].disk[fmt.Sprintf("m%d", m)] = true
+	}
+	s.p.SetForesight(foresight)
+	return t
+}
+
+// play advances the time. Rates may be changed between calls.
+func (t *traffic) play(d time.Duration) {
+	for range int(d / simStep) {
+		if t.steps%40 == 0 {
+			t.list()
+		}
+		if t.steps%5 == 0 {
+			t.report(5 * simStep)
+		}
+		t.steps++
+		t.step()
+	}
+}
+
+// serving returns the engines that hold a model, as entries see them.
+func (t *traffic) serving(name string) []*simEngine {
+	var out []*simEngine
+	for _, e := range t.byID() {
+		if e.held[name] != nil && !t.leaving[e.ep.ID] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// report reports what arrives within dt, and what runs and waits by Little's law.
+func (t *traffic) report(dt time.Duration) {
+	running := map[*simEngine]map[string]float64{}
+	total := map[*simEngine]float64{}
+	names := slices.Sorted(maps.Keys(t.rates))
+	for _, name := range names {
+		es := t.serving(name)
+		for _, e := range es {
+			if running[e] == nil {
+				running[e] = map[string]float64{}
+			}
+			running[e][name] = t.rates[name] / float64(len(es))
+			total[e] += running[e][name]
+		}
+	}
+	var ds []Demand
+	var us []Use
+	for _, name := range names {
+		room := 0.0
+		for _, e := range t.serving(name) {
+			part := running[e][name] * min(1, float64(e.ep.Slots)/total[e])
+			room += part
+			us = append(us, Use{Endpoint: IncarnationID(string(e.ep.ID), e.born), Want: Want{Model: name}, Running: int(math.Round(part)), Sent: 1})
+		}
+		t.due[name] += t.rates[name] * dt.Seconds()
+		d := Demand{Want: Want{Model: name}, Arrived: int(t.due[name])}
+		t.due[name] -= float64(d.Arrived)
+		if short := t.rates[name] - room; short > 0.5 {
+			t.without[name] += dt.Seconds()
+			d.Waiting, d.Earliest = int(math.Ceil(short*dt.Seconds())), 2*time.Second
+		}
+		ds = append(ds, d)
+	}
+	t.p.RecordDemand(t.now, "entry", ds, us)
+}
+
+// end ends engines for good.
+func (t *traffic) end(es ...*simEngine) {
+	for _, e := range es {
+		delete(t.engines, e.ep.ID)
+	}
+}
+
+// secondsWithout returns the seconds without room since the last call, summed over models.
+func (t *traffic) secondsWithout() float64 {
+	sum := 0.0
+	for _, s := range t.without {
+		sum += s
+	}
+	clear(t.without)
+	return sum
+}
+
+// busyTen are the rates of ten models, half of which lie on one disk each at the start.
+func busyTen() map[string]float64 {
+	return map[string]float64{"m0": 60, "m5": 50, "m1": 35, "m6": 25, "m2": 20, "m7": 12, "m3": 10, "m8": 8, "m4": 5, "m9": 4}
+}
+
+// lossSeeds is the number of runs of each case.
+const lossSeeds = 3
+
+type lossCase struct {
+	name  string
+	limit float64 // seconds without room, summed over ten models
+	play  func(t *traffic)
+}
+
+func lossCases() []lossCase {
+	return []lossCase{
+		{"a tenth of the engines", 1, func(t *traffic) {
+			es := t.byID()
+			t.r.Shuffle(len(es), func(i, j int) { es[i], es[j] = es[j], es[i] })
+			t.end(es[:len(es)/10]...)
+		}},
+		{"a zone", 2, func(t *traffic) {
+			for _, e := range t.byID() {
+				if e.ep.Zone == "z1" {
+					t.end(e)
+				}
+			}
+		}},
+		{"two holders of one model", 4, func(t *traffic) {
+			es := t.serving("m6")
+			t.end(es[:min(2, len(es))]...)
+		}},
+	}
+}
+
+// TestLossOfEnginesIsForeseen guards against busy models that wait for the store after engines have
+// ended, as nothing had prepared for that.
+func TestLossOfEnginesIsForeseen(t *testing.T) {
+	for _, c := range lossCases() {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var without [2]float64
+			var loads [2]int
+			for i, foresight := range []bool{false, true} {
+				for seed := range uint64(lossSeeds) {
+					p := lossFleet(seed, 30, 40, 5, foresight)
+					maps.Copy(p.rates, busyTen())
+					p.play(60 * time.Second)
+					p.secondsWithout()
+					c.play(p)
+					p.play(20 * time.Second)
+					without[i] += p.secondsWithout() / lossSeeds
+					loads[i] += p.storeTurn.loads
+					is.Equal(p.crashed(), "")
+				}
+			}
+			t.Logf("seconds without room for ten models in the 20 s after the loss: %.1f without foresight, %.1f with; loads from the store %d and %d", without[0], without[1], loads[0], loads[1])
+			is.True(without[1] <= c.limit) // today's figure is in the log
+			is.True(without[1] <= without[0])
+			is.True(loads[1] <= 2*loads[0])
+		})
+	}
+}
+
+// TestForesightSwitchedOffPlansAsBefore guards against a switch that leaves a part in use.
+func TestForesightSwitchedOffPlansAsBefore(t *testing.T) {
+	is := is.New(t)
+	play := func(prepare func(p *Planner)) []string {
+		s := newSimulation(3, 12, 16, 0.1)
+		prepare(s.p)
+		var out []string
+		s.list()
+		for i := range 2000 {
+			if i%20 == 0 {
+				s.requestRandom(6)
+			}
+			if i%40 == 0 {
+				s.list()
+			}
+			s.step()
+			for _, o := range s.orders {
+				out = append(out, fmt.Sprint(i, o))
+			}
+		}
+		return out
+	}
+	never := play(func(*Planner) {})
+	is.True(len(never) > 100)
+	is.Equal(never, play(func(p *Planner) { p.SetForesight(true); p.SetForesight(false) }))
+}
+
+// TestPreparationsAreBounded guards against preparations that use up the store.
+func TestPreparationsAreBounded(t *testing.T) {
+	is := is.New(t)
+	p := lossFleet(1, 30, 40, 0, true) // every model lies on one disk
+	maps.Copy(p.rates, busyTen())
+	p.play(70 * time.Second)
+	n := 0
+	for _, d := range p.prepared {
+		if d.Source == FromStore {
+			n++
+			is.True(d.Cost >= minForeseenCost)
+		}
+	}
+	is.True(n > 0)
+	is.True(n <= preparedStoreBurst) // within preparedStoreBurst * preparedStoreInterval
+}
+
+// TestPreparationWaitsForTheStore guards against a preparation that delays a load that requests wait
+// for.
+func TestPreparationWaitsForTheStore(t *testing.T) {
+	is := is.New(t)
+	p := lossFleet(1, 30, 40, 0, true)
+	for _, e := range p.engines {
+		delete(e.disk, "m39")
+	}
+	p.storeTurn.stalled = true
+	p.rates["m39"] = 2 // it lies nowhere: its load never ends
+	p.play(5 * time.Second)
+	maps.Copy(p.rates, busyTen())
+	p.play(30 * time.Second)
+	is.True(p.storeTurn.inFlight > 0)
+	for _, d := range p.prepared {
+		is.True(d.Source != FromStore)
+	}
+}
--- a/internal/core/fleet/headroom.go
+++ b/internal/core/fleet/headroom.go
@@ -6,7 +6,18 @@
 // enough for the largest model. It evicts the model that costs least to lose over all
 // engines, so that a cold start waits for no unload.
 func (p *Planner) keepHeadroom(now time.Time, w *Work) {
-	ready, engines := 0, 0
+	ready, engines := p.headroom(now)
+	if float64(ready) >= p.cfg.Headroom*float64(engines) {
+		return
+	}
+	if e, v := p.cheapestVictim(now); e != nil {
+		p.issue(now, e, Order{Op: Unload, Want: Want{Model: v.name}, Reason: "makes way ahead of demand"}, unloadTime, w)
+	}
+}
+
+// headroom returns how many engines have enough free memory for any model, or soon will, and how
+// many there are.
+func (p *Planner) headroom(now time.Time) (ready, engines int) {
 	for _, e := range p.engines {
 		eng, _ := p.spec(e, "")
 		if eng == nil || !e.usable(now) {
@@ -17,12 +28,7 @@
 			ready++
 		}
 	}
-	if float64(ready) >= p.cfg.Headroom*float64(engines) {
-		return
-	}
-	if e, v := p.cheapestVictim(now); e != nil {
-		p.issue(now, e, Order{Op: Unload, Want: Want{Model: v.name}, Reason: "makes way ahead of demand"}, unloadTime, w)
-	}
+	return ready, engines
 }
 
 // cheapestVictim returns the model that costs least to lose and the engine that would evict
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -13,9 +13,12 @@
 type Work struct {
 	Orders      []Order
 	Queries     []Query
-	Settled     []Settled // since the last plan
-	Restarts    []Restart // since the last plan
-	Quarantined []Want    // in quarantine since the last plan, as engines ended under their loads
+	Settled     []Settled  // since the last plan
+	Restarts    []Restart  // since the last plan
+	Quarantined []Want     // in quarantine since the last plan, as engines ended under their loads
+	Prepared    []Prepared // loads among Orders that were decided for losses that may come
+	Unused      []Prepared // earlier ones that no request has used
+	Foreseen    *Foreseen  // the newest examination of what losses would cost, if there was one
 }
 
 // Query requests an engine's report.
@@ -78,6 +81,7 @@
 	p.fetchMissing(now, &w)
 	p.replicate(now, &w)
 	p.keepHeadroom(now, &w)
+	p.prepare(now, &w)
 	p.queries(now, &w)
 	return w
 }
@@ -167,7 +171,7 @@
 		holders, _ := p.replicas(now, name)
 		want := p.rate(now, name) / p.ratePerReplica(name)
 		lost := p.lostReplicas(now, name)
-		for ; holders > 0 && holders < p.maxReplicas() && float64(holders)-lost < want; holders++ {
+		for ; (holders > 0 || p.foresight != nil) && holders < p.maxReplicas() && float64(holders)-lost < want; holders++ {
 			p.place(now, name, false, w)
 		}
 	}
--- a/internal/core/fleet/place.go
+++ b/internal/core/fleet/place.go
@@ -104,7 +104,7 @@
 	}
 	s := placement{e: e, source: src, loadTime: loadTime, cost: loadTime.Seconds()}
 	if src == FromStore {
-		s.cost += p.blockedRate(now, e)
+		s.cost += p.blockedRate(now, e) + p.copiesAtRisk(now, e)
 	}
 	r := p.capacity(now, e, eng)
 	free := r.free
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -104,6 +104,7 @@
 	newlyQuarantined []Want                     // newly in quarantine since the last plan
 	paces            map[EndpointID]pace.Factor // of endpoints known to be faster or slower than their peers
 	sumsStale        bool                       // wants and the engines' running counts lack the newest reports of entries
+	foresight        *foresight                 // nil if nothing is prepared for losses
 }
 
 // model is the known demand for one model.
@@ -111,6 +112,7 @@
 	rate    float64 // requests a second, decayed
 	ratedAt time.Time
 	askedAt time.Time
+	trend   trend
 	// missingSince is since when it has been requested without an engine that holds it; zero
 	// if it is not missing.
 	missingSince time.Time
@@ -276,11 +278,13 @@
 	}
 	m.decay(now, p.cfg.RateHalfLife)
 	m.rate += float64(d.Arrived) * math.Ln2 / p.cfg.RateHalfLife.Seconds()
+	m.trend.arrived(d.Arrived)
 }
 
 func (m *model) decay(now time.Time, halfLife time.Duration) {
 	if dt := now.Sub(m.ratedAt); dt > 0 {
 		m.rate *= math.Exp2(-dt.Seconds() / halfLife.Seconds())
+		m.trend.decay(dt)
 		m.ratedAt = now
 	}
 }
--- a/internal/core/fleet/residence.go
+++ b/internal/core/fleet/residence.go
@@ -63,5 +63,5 @@
 	for _, e := range p.survey.holding[name] {
 		return e.ep.Slots
 	}
-	return 0
+	return p.slotsByCopy(name)
 }
--- a/internal/core/fleet/sim_test.go
+++ b/internal/core/fleet/sim_test.go
@@ -29,8 +29,27 @@
 	previous        Endpoint // its entry in the list until listLagsUntil
 	listLagsUntil   time.Time
 	disk            map[string]bool
-	fatalModel      string // model whose load ends the process
-	fatalLoads      int    // loads that ended the process
+	fatalModel      string    // model whose load ends the process
+	fatalLoads      int       // loads that ended the process
+	store           *simStore // shared; nil if its loads never slow each other down
+}
+
+// simStore is a weight store that serves some loads at full speed and more in proportion slower.
+type simStore struct {
+	limit    int
+	inFlight int
+	loads    int
+	stalled  bool // no load ends
+}
+
+// start returns how long a load takes that starts now.
+func (w *simStore) start(stated time.Duration) time.Duration {
+	w.inFlight++
+	w.loads++
+	if w.stalled {
+		return time.Hour
+	}
+	return time.Duration(float64(stated) * max(1, float64(w.inFlight)/float64(w.limit)))
 }
 
 type pastReport struct {
@@ -44,8 +63,8 @@
 		s.pending = nil
 	}
 	s.history = append(s.history, pastReport{now, s.report()})
-	if len(s.history) > 400 {
-		s.history = s.history[200:]
+	if len(s.history) > 60 {
+		s.history = slices.Clone(s.history[30:])
 	}
 }
 
@@ -128,7 +147,16 @@
 			takes = s.spec.Models[o.Want.Model].FromDisk
 		}
 		s.check(o.Want.Model)
-		s.busy, s.pending = now.Add(takes), func() { s.held[o.Want.Model], s.disk[o.Want.Model] = map[string]bool{}, true }
+		fetches := s.store != nil && !s.disk[o.Want.Model]
+		if fetches {
+			takes = s.store.start(takes)
+		}
+		s.busy, s.pending = now.Add(takes), func() {
+			s.held[o.Want.Model], s.disk[o.Want.Model] = map[string]bool{}, true
+			if fetches {
+				s.store.inFlight--
+			}
+		}
 	default:
 		s.busy, s.pending = now.Add(20*time.Millisecond), func() { delete(s.held, o.Want.Model) }
 	}
@@ -165,6 +193,8 @@
 	maxStoreLoads  int           // maximum of concurrent loads from the store
 	orders         []Order       // the orders of the last step
 	busyAnswers    int           // orders answered Busy
+	prepared       []Prepared    // of all steps
+	unused         []Prepared    // of all steps
 	redundantLoads int           // loads of what was held already
 }
 
@@ -241,11 +271,16 @@
 	}
 	w := s.p.Plan(s.now)
 	s.orders = w.Orders
+	s.prepared, s.unused = append(s.prepared, w.Prepared...), append(s.unused, w.Unused...)
 	for _, o := range w.Orders {
 		s.deliver(o)
 	}
 	for _, q := range w.Queries {
 		e := s.engines[EndpointID(q.Addr)]
+		if e == nil {
+			s.after(2*simStep, func() { s.p.QueryFailed(s.now, q.Endpoint) })
+			continue
+		}
 		s.after(2*simStep, func() {
 			r := e.laggingReport(s.now)
 			if s.maxDelay == 0 {
@@ -271,6 +306,10 @@
 
 func (s *simulation) deliver(o Order) {
 	e := s.engines[EndpointID(o.Server)]
+	if e == nil {
+		s.after(simStep, func() { s.p.Answered(s.now, o, Unsent) })
+		return
+	}
 	if s.r.Float64() < s.lossRate {
 		// No answer; carried out up to 12 s later, after newer orders, or at once.
 		wait := time.Duration(s.r.IntN(12000)) * time.Millisecond
--- a/internal/core/fleet/spare.go
+++ b/internal/core/fleet/spare.go
@@ -54,6 +54,9 @@
 		if waited || p.survey.holders[name] < 2 || rate > others*p.ratePerReplica(name) || !p.othersCanTakeOver(e, name) {
 			continue
 		}
+		if p.tight(now, name) {
+			rate += tightCost
+		}
 		out = append(out, victim{name, rate})
 	}
 	slices.SortFunc(out, func(a, b victim) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name)) })
--- a/internal/core/fleet/survey.go
+++ b/internal/core/fleet/survey.go
@@ -19,6 +19,7 @@
 	crowded      map[string]bool          // models whose engines are all crowded
 	missing      []string                 // recently requested models that no engine holds, by falling request rate
 	blockedRates map[*engine]float64      // computed on first use
+	copiesAtRisk map[*engine]float64      // computed on first use
 	storeQueue   []string                 // models that wait for a slot of the store, in order
 	busy         []string                 // models with busyRate or more, the busiest first
 	free         []*engine                // engines that may get an order
@@ -39,7 +40,7 @@
 }
 
 func (p *Planner) buildSurvey(now time.Time) *survey {
-	s := &survey{holding: make(map[string][]*engine, len(p.models)), holders: make(map[string]int, len(p.models)), loading: map[Want][]*engine{}, longestWait: make(map[string]time.Duration, len(p.wants)), crowded: map[string]bool{}, blockedRates: map[*engine]float64{},
+	s := &survey{holding: make(map[string][]*engine, len(p.models)), holders: make(map[string]int, len(p.models)), loading: map[Want][]*engine{}, longestWait: make(map[string]time.Duration, len(p.wants)), crowded: map[string]bool{}, blockedRates: map[*engine]float64{}, copiesAtRisk: map[*engine]float64{},
 		capacities: make(map[*engine]*capacity, len(p.engines)), specLimits: map[*deploy.Engine]specLimits{}}
 	for _, e := range p.engines {
 		p.copies.refresh(e)
@@ -123,7 +124,7 @@
 			continue
 		}
 		rate := p.rate(now, name)
-		if p.survey.holders[name] > 1 {
+		if p.survey.holders[name] > 1 && !p.tight(now, name) {
 			rate /= 4 // the other engines serve the requests meanwhile
 		}
 		// The longer unused, the less likely to be requested soon: LRU decides between equal
