Plan with the trend of a model's demand where losses are foreseen

Cause: the rate has a half-life of 4 s, so a model that rises several-fold gets its replicas when its engines are full, and one that fell keeps them.

The rate to plan with is the usual one, or one with a half-life of 1 s where they differ by more than two standard deviations of chance.

A prepared copy goes to another zone than the present ones, whichever loss it is for; engines count by the slots that other models leave. Allowed are now four preparations from the store in 80 s, as the trend saves some loads.

Test: the simulated traffic now builds up over a second as requests do, instead of at once.

--- a/internal/core/fleet/bench_test.go
+++ b/internal/core/fleet/bench_test.go
@@ -39,3 +39,27 @@
 		})
 	}
 }
+
+// BenchmarkForesight measures a plan at 636 engines and 180 models, of which 26 are busy, and an
+// examination of all losses, which comes once a second.
+func BenchmarkForesight(b *testing.B) {
+	p := lossFleet(1, 636, 180, 26, true)
+	for m := range 26 {
+		p.rates[fmt.Sprintf("m%d", m)] = 60
+	}
+	p.play(5 * time.Second)
+	b.Run("plan", func(b *testing.B) {
+		for b.Loop() {
+			p.p.foresight.examinedAt = p.now
+			p.p.Plan(p.now)
+		}
+	})
+	b.Run("examination", func(b *testing.B) {
+		for b.Loop() {
+			b.StopTimer()
+			p.p.survey = p.p.buildSurvey(p.now)
+			b.StartTimer()
+			p.p.foresee(p.now)
+		}
+	})
+}
--- a/internal/core/fleet/foresight.go
+++ b/internal/core/fleet/foresight.go
@@ -245,9 +245,14 @@
 	return cmp.Or(cmp.Compare(a.kind, b.kind), cmp.Compare(a.name, b.name))
 }
 
-// replicaPart returns how much of a replica an engine is that holds a model.
+// replicaPart returns how much of a replica an engine is that holds a model: what its limit and its
+// pace allow, on the slots that other models leave.
 func (p *Planner) replicaPart(e *engine, name string) float64 {
-	return max(1-p.replicaLoss(e, name), 0) / p.pace(e)
+	part := max(1-p.replicaLoss(e, name), 0) / p.pace(e)
+	if e.ep.Slots > 0 {
+		part *= 1 - min(float64(e.running-e.runningOf(name))/float64(e.ep.Slots), 1)
+	}
+	return part
 }
 
 // couldLoad reports whether an engine that has a copy of a model could load it soon. It need not
--- a/internal/core/fleet/foresight_test.go
+++ b/internal/core/fleet/foresight_test.go
@@ -21,15 +21,22 @@
 	due       map[string]float64 // parts of requests that have not arrived yet
 	without   map[string]float64 // seconds in which requests for a model found no room
 	steps     int
+	running   map[runs]float64
 	leaving   map[EndpointID]bool
 	storeTurn *simStore
 }
 
+// runs names the requests for a model at an engine.
+type runs struct {
+	e    *simEngine
+	name string
+}
+
 // lossFleet returns a fleet of engines in three zones. The first busy models lie on many disks,
 // all others on one.
 func lossFleet(seed uint64, engines, models, busy int, foresight bool) *traffic {
 	s := newSimulation(seed, engines, models, 0)
-	t := &traffic{simulation: s, rates: map[string]float64{}, due: map[string]float64{}, without: map[string]float64{}, leaving: map[EndpointID]bool{}, storeTurn: &simStore{limit: 2}}
+	t := &traffic{simulation: s, rates: map[string]float64{}, due: map[string]float64{}, without: map[string]float64{}, running: map[runs]float64{}, leaving: map[EndpointID]bool{}, storeTurn: &simStore{limit: 2}}
 	for i, e := range s.byID() {
 		e.ep.Zone, e.ep.Slots, e.store = ident.Zone(fmt.Sprintf("z%d", i%3)), 48, t.storeTurn
 		clear(e.disk)
@@ -72,36 +79,51 @@
 	return out
 }
 
-// report reports what arrives within dt, and what runs and waits by Little's law.
+// report reports what arrives within dt, what runs and what found no room.
 func (t *traffic) report(dt time.Duration) {
-	running := map[*simEngine]map[string]float64{}
-	total := map[*simEngine]float64{}
 	names := slices.Sorted(maps.Keys(t.rates))
+	refused := map[string]float64{}
 	for _, name := range names {
 		es := t.serving(name)
 		for _, e := range es {
-			if running[e] == nil {
-				running[e] = map[string]float64{}
-			}
-			running[e][name] = t.rates[name] / float64(len(es))
-			total[e] += running[e][name]
+			t.running[runs{e, name}] += t.rates[name] / float64(len(es)) * dt.Seconds()
+		}
+		if len(es) == 0 {
+			refused[name] = t.rates[name] * dt.Seconds()
+		}
+	}
+	total := map[*simEngine]float64{}
+	for r := range t.running {
+		t.running[r] *= 1 - dt.Seconds() // each stays a second
+		if r.e.held[r.name] == nil || t.engines[r.e.ep.ID] == nil {
+			delete(t.running, r)
+		}
+	}
+	for _, name := range names {
+		for _, e := range t.byID() {
+			total[e] += t.running[runs{e, name}]
 		}
 	}
 	var ds []Demand
 	var us []Use
 	for _, name := range names {
-		room := 0.0
-		for _, e := range t.serving(name) {
-			part := running[e][name] * min(1, float64(e.ep.Slots)/total[e])
-			room += part
-			us = append(us, Use{Endpoint: IncarnationID(string(e.ep.ID), e.born), Want: Want{Model: name}, Running: int(math.Round(part)), Sent: 1})
+		for _, e := range t.byID() {
+			n := t.running[runs{e, name}]
+			if over := total[e] - float64(e.ep.Slots); over > 0 {
+				refused[name] += over * n / total[e]
+				n -= over * n / total[e]
+				t.running[runs{e, name}] = n
+			}
+			if n > 0 {
+				us = append(us, Use{Endpoint: IncarnationID(string(e.ep.ID), e.born), Want: Want{Model: name}, Running: int(math.Round(n)), Sent: 1})
+			}
 		}
 		t.due[name] += t.rates[name] * dt.Seconds()
 		d := Demand{Want: Want{Model: name}, Arrived: int(t.due[name])}
 		t.due[name] -= float64(d.Arrived)
-		if short := t.rates[name] - room; short > 0.5 {
+		if refused[name] > 0.1*t.rates[name]*dt.Seconds() {
 			t.without[name] += dt.Seconds()
-			d.Waiting, d.Earliest = int(math.Ceil(short*dt.Seconds())), 2*time.Second
+			d.Waiting, d.Earliest = int(math.Ceil(refused[name])), 2*time.Second
 		}
 		ds = append(ds, d)
 	}
@@ -160,6 +182,34 @@
 	}
 }
 
+// TestRisingDemandGetsReplicasEarly guards against replicas that are placed only once a model's
+// engines are full, as the rate is learned over seconds.
+func TestRisingDemandGetsReplicasEarly(t *testing.T) {
+	is := is.New(t)
+	var without [2]float64
+	for i, foresight := range []bool{false, true} {
+		for seed := range uint64(lossSeeds) {
+			p := lossFleet(seed, 30, 40, 10, foresight)
+			maps.Copy(p.rates, busyTen())
+			p.play(20 * time.Second)
+			p.secondsWithout()
+			for range 25 { // twice as much within 5 s
+				for name := range p.rates {
+					p.rates[name] *= math.Exp2(1.0 / 25)
+				}
+				p.play(200 * time.Millisecond)
+			}
+			// The busiest fall silent, others rise at once.
+			p.rates["m0"], p.rates["m5"], p.rates["m3"], p.rates["m4"] = 0.2, 0.2, 120, 100
+			p.play(5 * time.Second)
+			without[i] += p.secondsWithout() / lossSeeds
+			is.Equal(p.crashed(), "")
+		}
+	}
+	t.Logf("seconds without room for ten models: %.1f without foresight, %.1f with", without[0], without[1])
+	is.True(without[1] < without[0])
+}
+
 // TestLossOfEnginesIsForeseen guards against busy models that wait for the store after engines have
 // ended, as nothing had prepared for that.
 func TestLossOfEnginesIsForeseen(t *testing.T) {
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -169,7 +169,7 @@
 func (p *Planner) replicate(now time.Time, w *Work) {
 	for _, name := range p.survey.busy {
 		holders, _ := p.replicas(now, name)
-		want := p.rate(now, name) / p.ratePerReplica(name)
+		want := p.foreseenRate(now, name) / p.ratePerReplica(name)
 		lost := p.lostReplicas(now, name)
 		for ; (holders > 0 || p.foresight != nil) && holders < p.maxReplicas() && float64(holders)-lost < want; holders++ {
 			p.place(now, name, false, w)
--- a/internal/core/fleet/preparations.go
+++ b/internal/core/fleet/preparations.go
@@ -10,11 +10,15 @@
 	// preparedStoreInterval is the time in which one more preparation from the store is allowed,
 	// and preparedStoreBurst how many of them may be saved up: the loads that demand calls for
 	// need the store and the engines.
-	preparedStoreInterval = 25 * time.Second
-	preparedStoreBurst    = 3
+	preparedStoreInterval = 20 * time.Second
+	preparedStoreBurst    = 4
 	// preparedPause is how long a model gets no further preparation after one. Reports show its
 	// effect, and the demand whether it was right.
 	preparedPause = 10 * time.Second
+	// spreadCost is the cost, in seconds, of a preparation where all engines with the model share a
+	// host or zone with it: more than engines differ in otherwise, as a prepared copy is there for
+	// what takes the others.
+	spreadCost = 5.0
 	// preparedUnusedAfter is how long after its load a preparation counts as a wrong guess if no
 	// request used it.
 	preparedUnusedAfter = 30 * time.Second
@@ -114,11 +118,15 @@
 // memory from another model, and that the foreseen loss leaves, if there is any.
 func (p *Planner) bestPreparation(now time.Time, s shortfall, engines func(func(*engine) bool), fromStore bool) *placement {
 	var best *placement
+	places, n := p.placesOf(s.model)
 	for e := range engines {
 		c, ok := p.placement(now, e, s.model, fromStore)
 		if !ok || c.victim != "" || (c.source == FromStore) != fromStore || s.loss.takes(e) {
 			continue
 		}
+		for _, l := range lossesOf(e) {
+			c.cost += spreadCost * float64(places[l]) / float64(max(n, 1))
+		}
 		if c.cheaper(best) {
 			best = &c
 		}
@@ -126,6 +134,27 @@
 	return best
 }
 
+// placesOf returns how many engines that hold a model or have a copy of it each loss would take,
+// and how many there are.
+func (p *Planner) placesOf(name string) (byLoss map[loss]int, n int) {
+	byLoss = map[loss]int{}
+	count := func(e *engine) {
+		n++
+		for _, l := range lossesOf(e) {
+			byLoss[l]++
+		}
+	}
+	for _, e := range p.survey.holding[name] {
+		count(e)
+	}
+	for e := range p.copies.engines(name) {
+		if _, held := e.held[name]; !held {
+			count(e)
+		}
+	}
+	return byLoss, n
+}
+
 // takes reports whether a loss would take an engine.
 func (l loss) takes(e *engine) bool {
 	of := lossesOf(e)
--- a/internal/core/fleet/residence.go
+++ b/internal/core/fleet/residence.go
@@ -35,7 +35,7 @@
 		}
 	}
 	for name := range p.models {
-		rate += p.rate(now, name)
+		rate += p.foreseenRate(now, name)
 	}
 	if rate < minTotalRate || running == 0 {
 		return
--- a/internal/core/fleet/spare.go
+++ b/internal/core/fleet/spare.go
@@ -50,7 +50,7 @@
 	for name := range e.held {
 		_, waited := p.survey.longestWait[name]
 		others := float64(p.survey.holders[name]-1) - p.lostReplicas(now, name) + p.replicaLoss(e, name)
-		rate := p.rate(now, name)
+		rate := p.foreseenRate(now, name)
 		if waited || p.survey.holders[name] < 2 || rate > others*p.ratePerReplica(name) || !p.othersCanTakeOver(e, name) {
 			continue
 		}
