Bound the work of an examination of losses

Cause: 2.3 ms a second at 636 engines, 180 models of which 26 busy with 127 copies each; a plan there takes 0.3 to 0.6 ms.

Of the losses of one engine only the largest holder and one engine with a copy are examined, no other costs more; hosts and zones are counted by position.

--- a/internal/core/fleet/engine.go
+++ b/internal/core/fleet/engine.go
@@ -11,6 +11,8 @@
 // engine is the planner's view of one endpoint.
 type engine struct {
 	ep              Endpoint
+	host            string            // address of its host; "" if it is not known
+	commonLosses    [3]int            // losses that would take it and others, of the examination in progress; -1 for none
 	copies          map[string]Source // model to the fastest source that ep.Copies names
 	copyNames       []string          // the models in copies, sorted: sums over them must not depend on the order of a map
 	copiesChanged   bool              // since they were last indexed
@@ -57,7 +59,7 @@
 }
 
 func newEngine(ep Endpoint, now time.Time) *engine {
-	e := &engine{ep: ep, held: map[string]*held{}, loadedAt: map[Want]time.Time{}, runningByWant: map[Want]int{}}
+	e := &engine{ep: ep, host: hostOf(ep), held: map[string]*held{}, loadedAt: map[Want]time.Time{}, runningByWant: map[Want]int{}}
 	e.setCopies(ep.Copies)
 	e.setHeld(ep.Held, now)
 	return e
--- a/internal/core/fleet/foresight.go
+++ b/internal/core/fleet/foresight.go
@@ -118,10 +118,10 @@
 // first.
 func (p *Planner) foresee(now time.Time) []shortfall {
 	var out []shortfall
-	scratch := modelRoom{byLoss: map[loss]room{}, whole: p.onlyLosses()}
+	r := p.newRoom()
 	for name, m := range p.models {
 		if rate := p.rateToProtect(now, m); rate >= busyRate {
-			if s, short := p.shortfall(now, name, rate, &scratch); short {
+			if s, short := p.shortfall(now, name, rate, r); short {
 				out = append(out, s)
 			}
 		}
@@ -130,56 +130,6 @@
 	return out
 }
 
-// room is what engines could do for a model.
-type room struct {
-	held   float64 // replicas, by pace
-	copies int     // engines that could load it from a copy
-}
-
-// modelRoom is the room for one model, in all and by what may be lost together.
-type modelRoom struct {
-	all     room
-	holders int
-	byLoss  map[loss]room
-	whole   map[loss]bool // losses that would leave no engine at all
-}
-
-func (r *modelRoom) reset() {
-	r.all, r.holders = room{}, 0
-	clear(r.byLoss)
-}
-
-func (r *modelRoom) add(e *engine, one room) {
-	sum := func(a room) room { return room{a.held + one.held, a.copies + one.copies} }
-	r.all = sum(r.all)
-	for _, l := range lossesOf(e) {
-		if l.name != "" && !r.whole[l] {
-			r.byLoss[l] = sum(r.byLoss[l])
-		}
-	}
-}
-
-// onlyLosses returns the losses that would take all engines: nothing can be prepared for them.
-func (p *Planner) onlyLosses() map[loss]bool {
-	all, by := 0, map[loss]int{}
-	for _, e := range p.engines {
-		if eng, _ := p.spec(e, ""); eng == nil || e.ep.Leaving {
-			continue
-		}
-		all++
-		for _, l := range lossesOf(e) {
-			by[l]++
-		}
-	}
-	out := map[loss]bool{}
-	for l, n := range by {
-		if n == all {
-			out[l] = true
-		}
-	}
-	return out
-}
-
 // mostReported reports whether enough engines have reported their copies to judge by. A new
 // leader would otherwise fetch copies that exist.
 func (p *Planner) mostReported() bool {
@@ -198,12 +148,12 @@
 
 // lossesOf returns the losses that would take an engine.
 func lossesOf(e *engine) [3]loss {
-	return [...]loss{{lossOfEngine, e.ep.Name()}, {lossOfHost, hostOf(e)}, {lossOfZone, string(e.ep.Zone)}}
+	return [...]loss{{lossOfEngine, e.ep.Name()}, {lossOfHost, e.host}, {lossOfZone, string(e.ep.Zone)}}
 }
 
-// hostOf returns the address of an engine's host; "" if it is not known.
-func hostOf(e *engine) string {
-	a, err := netip.ParseAddrPort(e.ep.Addr)
+// hostOf returns the address of an endpoint's host; "" if it is not known.
+func hostOf(ep Endpoint) string {
+	a, err := netip.ParseAddrPort(ep.Addr)
 	if err != nil {
 		return ""
 	}
@@ -216,28 +166,24 @@
 	r.reset()
 	for _, e := range p.survey.holding[name] {
 		if e.has(Want{Model: name}) && e.usable(now) {
-			r.add(e, room{held: p.replicaPart(e, name)})
-			r.holders++
+			r.addHolder(e, p.replicaPart(e, name))
 		}
 	}
 	for e := range p.copies.engines(name) {
 		if _, held := e.held[name]; !held && p.couldLoad(now, e, name) {
-			r.add(e, room{copies: 1})
+			r.addCopy(e)
 		}
 	}
 	need := rate / p.ratePerReplica(name)
 	worst := shortfall{model: name}
-	if r.holders > 1 {
-		r.byLoss[pairLoss] = room{held: 2 * r.all.held / float64(r.holders)}
-	}
-	for l, lost := range r.byLoss {
-		left := room{r.all.held - lost.held, r.all.copies - lost.copies}
+	r.each(func(l loss, taken room) {
+		left := room{r.all.held - taken.held, r.all.copies - taken.copies}
 		cost, fromStore := p.lossCost(name, rate, need, left)
 		cost *= p.foresight.weightOf(name) * l.kind.likelihood()
 		if cost > worst.cost || cost == worst.cost && compareLosses(l, worst.loss) < 0 {
 			worst = shortfall{name, l, cost, fromStore}
 		}
-	}
+	})
 	return worst, worst.cost >= minForeseenCost
 }
 
@@ -265,10 +211,14 @@
 	if e.order != nil {
 		return true
 	}
-	c := p.capacity(now, e, eng)
-	free := c.free
-	for _, v := range c.victims {
-		free += eng.Models[v.name].Megabytes
+	free := p.free(e, eng)
+	for held := range e.held {
+		if free >= m.Megabytes {
+			break
+		}
+		if o := eng.Models[held]; o != nil && e.runningOf(held) == 0 {
+			free += o.Megabytes
+		}
 	}
 	return free >= m.Megabytes
 }
