Tell a new leader the rates that the former one knew

Cause: a new leader learns request rates over seconds (half-life 4 s), and until then orders for other demand than there is.

Each entry's first report to a leader names the rates of its 16 busiest models as its earlier reports showed them, and how old they are; the planner adds them once per entry. Weighed: the rates in the group's log (a commit a second, and none while there is no leader) and a push by the former leader (it may be dead). Arrivals that piled up without a leader count as spread over that time in the quick rate: as one burst they would look like a rise. Old processes ignore the field; a leader that gets none learns as before. What a load took is not passed on: the next leader learns the store's limit from its own loads.

Test: TestNewLeaderPlansWithTheFormerDemand: 100 requests a second known within a tenth after one round of reports, below 20 without; TestNewLeaderPlacesReplicasLikeTheFormerOne; TestRatesAreBounded.

--- a/internal/app/controller/calls.go
+++ b/internal/app/controller/calls.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cassiapass/cassiapass/internal/core/feature"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/wire"
@@ -166,6 +167,9 @@
 // applyReport applies a report while this host leads.
 func (c *Controller) applyReport(now time.Time, p wire.TellParams) {
 	c.sharedHosts = c.sharedHosts || p.SharedHosts
+	if c.enabled(feature.Foresight) {
+		c.planner.RecordRates(now, string(p.Host), p.Rates)
+	}
 	c.planner.RecordDemand(now, string(p.Host), p.Demands, p.Uses)
 	c.pub.recordInterest(now, p.Host, p.Demands)
 	c.notices.Record(now, string(p.Host), p.Notices)
--- a/internal/app/gateway/syncer.go
+++ b/internal/app/gateway/syncer.go
@@ -65,8 +65,9 @@
 	leaderListAge atomic.Int64 // nanoseconds: how old the leader's list typically gets
 	contact       leaderContact
 
-	reportedOn     *rpc.Conn // connection of the last report; used by report alone
-	idleReportedOn *rpc.Conn // connection on which the last report was empty; used by report alone
+	reportedOn     *rpc.Conn        // connection of the last report; used by report alone
+	rates          fleet.RateMemory // used by report alone
+	idleReportedOn *rpc.Conn        // connection on which the last report was empty; used by report alone
 }
 
 func newSyncer(g *Gateway) *syncer {
@@ -359,6 +360,7 @@
 		return // what waits is reported again when there is a leader
 	}
 	p := wire.TellParams{Host: s.g.cfg.Host, Demands: s.g.demands.report(time.Now()), Uses: s.g.dir.reportUses()}
+	s.reportRates(&p, s.reportedOn != conn)
 	p.Notices = s.g.dir.noticeReports(time.Now())
 	p.SharedHosts = s.g.dir.onSharedHosts()
 	p.Ends, p.Answered = s.g.suspects.report(time.Now(), s.reportedOn != conn)
--- a/internal/core/fleet/planner.go
+++ b/internal/core/fleet/planner.go
@@ -105,6 +105,7 @@
 	paces            map[EndpointID]pace.Factor // of endpoints known to be faster or slower than their peers
 	sumsStale        bool                       // wants and the engines' running counts lack the newest reports of entries
 	foresight        *foresight                 // nil if nothing is prepared for losses
+	reportedAt       map[string]time.Time       // entry to its last report
 }
 
 // model is the known demand for one model.
@@ -122,7 +123,7 @@
 func New(cfg Config) *Planner {
 	return &Planner{
 		cfg: cfg, store: storeLimiter{limit: cfg.StoreConcurrency}, engines: map[EndpointID]*engine{}, models: map[string]*model{}, wants: map[Want]*demand{},
-		demandByEntry: map[string]map[Want]Demand{}, usesByEntry: map[string][]Use{}, copies: newCopyIndex(), newlyHeld: map[Want]bool{}, newETAs: map[string]bool{}, copyLostAt: map[string]time.Time{}, loadFaults: poison.NewBookFor(loadQuarantine),
+		demandByEntry: map[string]map[Want]Demand{}, usesByEntry: map[string][]Use{}, copies: newCopyIndex(), newlyHeld: map[Want]bool{}, newETAs: map[string]bool{}, copyLostAt: map[string]time.Time{}, loadFaults: poison.NewBookFor(loadQuarantine), reportedAt: map[string]time.Time{},
 	}
 }
 
@@ -237,9 +238,9 @@
 // RecordDemand records the waiting and running requests that one entry reports. They replace those
 // of its previous report.
 func (p *Planner) RecordDemand(now time.Time, entry string, demands []Demand, uses []Use) {
-	waiting := map[Want]Demand{}
+	waiting, gap := map[Want]Demand{}, p.reportGap(now, entry)
 	for _, d := range demands {
-		p.recordArrivals(now, d)
+		p.recordArrivals(now, d, gap)
 		if d.Waiting > 0 {
 			waiting[d.Want] = d
 		}
@@ -264,21 +265,18 @@
 func (p *Planner) Forget(entry string) {
 	delete(p.demandByEntry, entry)
 	delete(p.usesByEntry, entry)
+	p.forgetReport(entry)
 	p.sumsStale = true
 }
 
-func (p *Planner) recordArrivals(now time.Time, d Demand) {
-	m, known := p.models[d.Want.Model]
-	if !known {
-		m = &model{ratedAt: now}
-		p.models[d.Want.Model] = m
-	}
+func (p *Planner) recordArrivals(now time.Time, d Demand, gap time.Duration) {
+	m := p.modelNamed(now, d.Want.Model)
 	if d.Arrived > 0 || d.Waiting > 0 || d.Refused > 0 {
 		m.askedAt = now
 	}
 	m.decay(now, p.cfg.RateHalfLife)
 	m.rate += float64(d.Arrived) * math.Ln2 / p.cfg.RateHalfLife.Seconds()
-	m.trend.arrived(d.Arrived)
+	m.trend.arrived(d.Arrived, gap)
 }
 
 func (m *model) decay(now time.Time, halfLife time.Duration) {
--- a/internal/core/fleet/trend.go
+++ b/internal/core/fleet/trend.go
@@ -29,8 +29,14 @@
 	t.peak *= math.Exp2(-dt.Seconds() / peakHalfLife.Seconds())
 }
 
-// arrived counts requests.
-func (t *trend) arrived(n int) { t.quick += float64(n) * math.Ln2 / quickHalfLife.Seconds() }
+// arrived counts requests that arrived evenly within the time before now.
+func (t *trend) arrived(n int, within time.Duration) {
+	if s := within.Seconds(); s > 0 {
+		t.quick += float64(n) / s * (1 - math.Exp2(-s/quickHalfLife.Seconds()))
+		return
+	}
+	t.quick += float64(n) * math.Ln2 / quickHalfLife.Seconds()
+}
 
 // foreseen returns the rate to plan with: the usual one, or the quick one where the difference
 // is more than chance. For random arrivals the variance of the quick rate is its mean times
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -382,6 +382,8 @@
 	Answered []poison.Fingerprint `json:"answered,omitempty"`
 	// SharedHosts is set once an endpoint told the entry how fast its host is at the moment.
 	SharedHosts bool `json:"sharedHosts,omitempty"`
+	// Rates are in the first report to a leader: what earlier reports showed to the former one.
+	Rates *fleet.ArrivalRates `json:"rates,omitempty"`
 	// Notices are what endpoints asked of the entry and is in force.
 	Notices []notice.Report `json:"notices,omitempty"`
 }
