--- a/internal/core/fleet/residence.go
+++ b/internal/core/fleet/residence.go
@@ -35,7 +35,7 @@
 		}
 	}
 	for name := range p.models {
-		rate += p.rate(now, name)
+		rate += p.foreseenRate(now, name)
 	}
 	if rate < minTotalRate || running == 0 {
 		return
@@ -63,5 +63,5 @@
 	for _, e := range p.survey.holding[name] {
 		return e.ep.Slots
 	}
-	return 0
+	return p.slotsByCopy(name)
 }
--- a/internal/core/fleet/spare.go
+++ b/internal/core/fleet/spare.go
@@ -50,11 +50,15 @@
 	for name := range e.held {
 		_, waited := p.survey.longestWait[name]
 		others := float64(p.survey.holders[name]-1) - p.lostReplicas(now, name) + p.replicaLoss(e, name)
-		rate := p.rate(now, name)
+		rate := p.foreseenRate(now, name)
 		if waited || p.survey.holders[name] < 2 || rate > others*p.ratePerReplica(name) || !p.othersCanTakeOver(e, name) {
 			continue
 		}
-		out = append(out, victim{name, p.weightedRate(now, name)})
+		cost := p.weightedRate(now, name)
+		if p.tight(now, name) {
+			cost += tightCost
+		}
+		out = append(out, victim{name, cost})
 	}
 	slices.SortFunc(out, func(a, b victim) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name)) })
 	return out
