--- a/internal/app/lab/load.go
+++ b/internal/app/lab/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
+	"github.com/cassiapass/cassiapass/internal/core/urgency"
 )
 
 // Class is a class of requests.
@@ -132,6 +133,8 @@
 	waitingSince time.Duration // -1 while it does not wait
 }
 
+func (r *request) level() urgency.Level { return urgency.LevelOf(r.class.Priority) }
+
 // arrivals draws the requests of a run, ordered by arrival time.
 func (s *Site) arrivals(r *rand.Rand) []*request {
 	var out []*request
--- a/internal/app/lab/policy.go
+++ b/internal/app/lab/policy.go
@@ -11,6 +11,8 @@
 	Name        string
 	Description string // how it differs from the others
 	Plan        fleet.Config
+	// ByLevel counts requests with the weight of their level.
+	ByLevel bool
 	// Frozen makes engines keep the models that they hold at the start.
 	Frozen bool
 	// AllModels gives each engine every model regardless of memory. No policy can do
@@ -32,6 +34,7 @@
 	return []Policy{
 		{Name: "in-use", Description: "the planner's settings", Plan: inUse},
 		{Name: "by-urgency", Description: "waiting requests in order of the time they have left", Plan: urgency},
+		{Name: "by-level", Description: "models of urgent requests come first", Plan: inUse, ByLevel: true},
 		{Name: "no-room-ahead", Description: "a model makes way only when another one is asked for", Plan: noHeadroom},
 		{Name: "patient", Description: "a model makes way only after 2 s without requests", Plan: patient},
 		{Name: "one-replica", Description: "no model has more than one replica, the least used makes way", Plan: single},
--- a/internal/app/lab/run.go
+++ b/internal/app/lab/run.go
@@ -38,8 +38,8 @@
 	known       []fleet.Endpoint // as published to entries
 	waiting     []*request
 	assigned    map[*request]*engine
-	uses        []map[useKey]*fleet.Use // by entry: its requests running on each engine
-	arrived     []map[fleet.Want]int    // by entry: arrivals not reported yet
+	uses        []map[useKey]*fleet.Use        // by entry: its requests running on each engine
+	arrived     []map[fleet.Want]*fleet.Demand // by entry: arrivals not reported yet
 	scheduled   []event
 	store       store
 	reportNow   []bool // by entry: whether a request has begun to wait
@@ -64,8 +64,9 @@
 		assigned: map[*request]*engine{}, store: store{maxFullSpeed: storeFullSpeed}, reportNow: make([]bool, s.Entries), frozen: p.Frozen, out: newOutcome(s, p), now: -leadTime}
 	for range s.Entries {
 		x.uses = append(x.uses, map[useKey]*fleet.Use{})
-		x.arrived = append(x.arrived, map[fleet.Want]int{})
+		x.arrived = append(x.arrived, map[fleet.Want]*fleet.Demand{})
 	}
+	x.planner.SetByLevel(p.ByLevel)
 	x.planner.SetDeployment(&deploy.Config{Services: map[string]*deploy.Service{"llm": {Name: "llm", Engine: s.Spec}}})
 	x.createEngines(p.AllModels)
 	return x
@@ -241,13 +242,15 @@
 		}
 		return byWant[w]
 	}
-	for w, n := range x.arrived[entry] {
-		demandOf(w).Arrived = n
+	for w, d := range x.arrived[entry] {
+		byWant[w] = d
 	}
 	clear(x.arrived[entry])
 	for _, r := range x.waiting {
 		if r.entry == entry {
-			demandOf(r.want).Add(x.now-r.waitingSince, r.arrived+r.class.Limit-x.now, r.arrived+r.class.Objective-x.now)
+			due := r.arrived + r.class.Objective - x.now
+			demandOf(r.want).Add(x.now-r.waitingSince, r.arrived+r.class.Limit-x.now, due)
+			demandOf(r.want).OfLevel(r.level()).AddWaiting(due)
 		}
 	}
 	var demands []fleet.Demand
@@ -294,7 +297,13 @@
 
 func (x *runner) arrive(r *request) {
 	r.arrived = x.now
-	x.arrived[r.entry][r.want]++
+	d := x.arrived[r.entry][r.want]
+	if d == nil {
+		d = &fleet.Demand{Want: r.want}
+		x.arrived[r.entry][r.want] = d
+	}
+	d.Arrived++
+	d.OfLevel(r.level()).Arrived++
 	r.waitingSince = -1
 	if !x.send(r) {
 		x.enqueue(r)
