--- a/internal/core/allowance/allocator.go
+++ b/internal/core/allowance/allocator.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/urgency"
 )
 
 // Allocator is the leader's side: it holds one token bucket per customer. It is not safe for
@@ -142,6 +143,16 @@
 	Asked    float64        `json:"asked"`  // units since this leader started
 	Used     float64        `json:"used"`   // units since this leader started
 	Entries  []EntryStatus  `json:"entries"`
+	// Urgencies are those of the requests of the last seconds, if more urgent requests go first.
+	Urgencies []UrgencyStatus `json:"urgencies,omitempty"`
+}
+
+// UrgencyStatus is what requests of one urgency get of a customer's allowance.
+type UrgencyStatus struct {
+	Level  urgency.Level `json:"level"`
+	Late   bool          `json:"late"`
+	Demand float64       `json:"demand"` // units a second asked for, over all entries
+	Chance float64       `json:"chance"` // part of these units that is admitted now
 }
 
 // EntryStatus is one customer's state at one entry.
@@ -161,6 +172,7 @@
 		s := Status{Customer: a.customer, Rate: a.rate, Burst: a.burst, Level: a.level, Demand: a.demand(now), Chance: 1, Asked: a.requested, Used: a.used, Entries: []EntryStatus{}}
 		if s.Demand > 0 {
 			s.Chance = a.chance(s.Demand)
+			s.Urgencies = a.urgencies(now, s.Demand)
 		}
 		for entry, p := range a.byEntry {
 			s.Entries = append(s.Entries, EntryStatus{entry, p.demand.rate(now, demandDecay), p.fallback, now.Sub(l.lastSeen[entry]) > silentAfter, now.Sub(p.demand.at).Seconds()})
--- a/internal/core/allowance/order_test.go
+++ b/internal/core/allowance/order_test.go
@@ -349,7 +349,7 @@
 func TestEachLevelHasAFloor(t *testing.T) {
 	is := is.New(t)
 	out := nest(100, []float64{1000, 0, 50, 50})
-	is.True(out[0] < 0.1 && out[2] == out[3])
+	is.True(out[0] < 0.1 && out[1] == out[2] && out[2] == out[3]) // also a rank that nobody asks for now
 	is.True(math.Abs(out[2]-floorShare*100/1100) < 1e-9)
 	is.True(math.Abs(1000*out[0]+50*out[2]+50*out[3]-100) < 1e-9)
 	is.Equal(nest(0, []float64{10, 10}), []float64{0, 0})
@@ -491,3 +491,24 @@
 		is.True(inOrder[i].compare(inOrder[i+1]) < 0) // i
 	}
 }
+
+// Guards against an operator who cannot see which of a customer's requests are refused.
+func TestStatusTellsWhatEachUrgencyGets(t *testing.T) {
+	is := is.New(t)
+	w := newCallers(8, kinds)
+	w.hot[name(0)] = 6
+	w.play(4 * time.Second)
+	for _, s := range w.leader.Status(at(w.ms)) {
+		if s.Customer != name(0) {
+			continue
+		}
+		sum, admitted := 0.0, 0.0
+		for i, u := range s.Urgencies {
+			sum, admitted = sum+u.Demand, admitted+u.Demand*u.Chance
+			is.True(i == 0 || u.Chance <= s.Urgencies[i-1].Chance+1e-9)
+		}
+		is.Equal(s.Urgencies[0].Level, urgency.Level(0))
+		is.True(math.Abs(sum-s.Demand) < 1e-6*s.Demand)
+		is.True(math.Abs(admitted-s.Chance*s.Demand) < 1e-6*s.Demand)
+	}
+}
--- a/internal/core/allowance/ranks.go
+++ b/internal/core/allowance/ranks.go
@@ -88,12 +88,14 @@
 	left := max(units, 0) - floor*total
 	for i, d := range demands {
 		switch rest := d * (1 - floor); {
-		case rest <= left:
+		case left > 0 && rest <= left:
 			out[i] = 1
 			left -= rest
-		default:
+		case d > 0:
 			out[i] = floor + left/d
 			left = 0
+		default:
+			out[i] = floor
 		}
 	}
 	return out
@@ -133,78 +135,8 @@
 	return out
 }
 
-const (
-	// rankMemory is how long a rank without requests is kept.
-	rankMemory = fallbackDuration
-	// likelyChance is the chance from which a request that comes back is more likely admitted than
-	// not.
-	likelyChance = 0.5
-	// shortestExcess and longestExcess bound the time for which a customer is expected to stay over
-	// its allowance. Nobody knows when that ends. Callers that are told less mostly come back to be
-	// refused again; those that are told more leave room unused.
-	shortestExcess = 3 * time.Second
-	longestExcess  = 10 * time.Second
-)
-
-// waitFor returns the time until a rank can be expected to have room, from its chance and from the
-// demand of it and of the earlier ranks, in units a second. While a rank has hardly any room the best
-// estimate of how long that will last is how long it has lasted.
-func (d *rankDemand) waitFor(now time.Time, chance, upTo float64, b *bucket) time.Duration {
-	switch {
-	case chance >= 1:
-		d.since = time.Time{}
-		return 0
-	case chance >= likelyChance, upTo <= b.fill:
-		d.since = time.Time{}
-		debt := max(-b.level, 0) / b.fill
-		return time.Duration(debt*float64(time.Second)) + time.Duration(float64(ReportInterval)/max(chance, likelyChance))
-	case d.since.IsZero():
-		d.since = now
-	}
-	wait := time.Duration(min(upTo/b.fill, maxPressure) * float64(retryAfter))
-	return min(max(wait, now.Sub(d.since), shortestExcess), longestExcess)
-}
-
-// addRanks records the demand that an entry reported by rank.
-func (a *account) addRanks(now time.Time, u Use) {
-	unranked := u.Requested
-	for _, r := range u.Ranks {
-		requested := max(r.Requested, 0)
-		a.ranks.of(r.Rank).demand.add(now, requested, demandDecay)
-		unranked -= requested
-	}
-	a.unranked.add(now, max(unranked, 0), demandDecay)
-}
-
-// shares returns the shares of the ranks at the demand of all entries. Requests without a rank, those
-// of entries that report none, get their proportional part: their entries go by the one chance. Left
-// out are ranks whose requests are all admitted, but for the first of each class.
-func (a *account) shares(now time.Time, total float64) []RankShare {
-	demands := a.ranks.rates(now, demandDecay)
-	ranked, other := 0.0, a.unranked.rate(now, demandDecay)
-	for _, d := range demands {
-		ranked += d
-	}
-	if ranked <= 0 {
-		return nil
-	}
-	// The demand of all entries is the sum over those that are still known.
-	scale := total / (ranked + other)
-	for i := range demands {
-		demands[i] *= scale
-	}
-	chances := nest(a.available()*ranked/(ranked+other), demands)
-	var out []RankShare
-	upTo := other * scale
-	for i, d := range a.ranks {
-		upTo += demands[i]
-		s := RankShare{Rank: d.rank, Chance: chances[i], Wait: d.waitFor(now, chances[i], upTo, &a.bucket)}
-		if s.Chance < 1 || i == 0 || d.rank.Class != a.ranks[i-1].rank.Class {
-			out = append(out, s)
-		}
-	}
-	return out
-}
+// rankMemory is how long a rank without requests is kept.
+const rankMemory = fallbackDuration
 
 // shareOf returns what a leader's answer holds for a rank. A rank that it does not name has room if
 // all earlier ones have, and else as much as the least of them.
