--- a/internal/core/allowance/order_test.go
+++ b/internal/core/allowance/order_test.go
@@ -380,6 +380,9 @@
 		}
 		return n
 	}
+	c := newClient(1)
+	c.Decide(at(0), "a", limitOf(1, 1), Ask{Cost: 1, Level: 1})
+	is.Equal(len(c.Report(at(0))[0].Ranks), 0) // the leader then tells one chance only
 	before, now := count(run(false)), count(run(true))
 	is.True(math.Abs(float64(now-before)) < 0.03*float64(before))
 }
@@ -512,3 +515,20 @@
 		is.True(math.Abs(admitted-s.Chance*s.Demand) < 1e-6*s.Demand)
 	}
 }
+
+// Guards against ranks that are forgotten with a report that was lost, and against an order that is
+// forgotten with the answer to a report of refunds alone.
+func TestLostAndEmptyReportsKeepTheOrder(t *testing.T) {
+	is := is.New(t)
+	c, lim := newClient(1), limitOf(1000, 1000)
+	q := Ask{Cost: 10, Ordered: true, Level: 2, Timing: urgency.Timing{Limit: digest.limit, Objective: digest.objective}}
+	c.Decide(at(0), "a", lim, q)
+	first := c.Report(at(0))[0].Ranks
+	c.Unanswered(at(1))
+	is.Equal(c.Report(at(2))[0].Ranks, first)
+	c.Answered(at(3), []Share{{Customer: "a", Chance: 0.5, Ranks: []RankShare{{q.rank(), 0, time.Second}}}})
+	c.Refund("a", 10)
+	is.Equal(len(c.Report(at(4))[0].Ranks), 0)
+	c.Answered(at(5), []Share{{Customer: "a", Chance: 0.5}})
+	is.True(!c.Decide(at(6), "a", lim, q).Admitted)
+}
