--- a/internal/app/ctl/trace.go
+++ b/internal/app/ctl/trace.go
@@ -203,9 +203,9 @@
 	case "request_answered":
 		return answeredCause(last, all)
 	case "request_not_run":
-		return "refused, it did not run: " + reasonText(last.Fields["reason"]) + etaText(last) + waitedText(last)
+		return "refused, it did not run: " + reasonText(last.Fields["reason"]) + gaveWayText(own) + etaText(last) + waitedText(last)
 	case "request_unauthorized", "request_over_allowance":
-		return "refused, it did not run: " + reasonText(last.Fields["reason"])
+		return "refused, it did not run: " + reasonText(last.Fields["reason"]) + gaveWayText(own)
 	case "request_stopping":
 		return "refused, it did not run: the entry was stopping"
 	case "request_caller_gone":
@@ -246,6 +246,23 @@
 	return ""
 }
 
+// gaveWayText returns to whom a refused request gave way, if that was logged.
+func gaveWayText(own []logLine) string {
+	for _, l := range own {
+		if f := l.Fields; f["event"] == "gave_way" {
+			return "; level " + levelText(f["level"], f["late"]) + " gave way to level " + levelText(f["to_level"], f["to_late"])
+		}
+	}
+	return ""
+}
+
+func levelText(level, late string) string {
+	if late == "true" {
+		return level + " (late)"
+	}
+	return level
+}
+
 // etaText returns the ETA of the model of a refused request, if it was logged.
 func etaText(l logLine) string {
 	if ready := l.Fields["ready"]; ready != "" {
--- a/internal/app/ctl/trace_test.go
+++ b/internal/app/ctl/trace_test.go
@@ -28,6 +28,8 @@
 time=2026-08-20T03:39:20.9Z level=info event=model_eta host=edge-3 in=13210 model=m4 role=control
 time=2026-08-20T03:39:21Z level=warn event=request_not_run host=edge-1 model=m4 ready=13205 reason=loaded_late request=r4 role=entry status=503 took=41 waited=38.5
 time=2026-08-20T03:39:21Z level=info event=request_answered endpoint=i-3 host=edge-1 model=m3 reason=not_loaded request=r3 role=entry status=200 waited=6820
+time=2026-08-20T03:39:22Z level=info event=gave_way customer=a host=edge-1 late=true level=0 request=r5 resource=allowance role=entry to_late=false to_level=2
+time=2026-08-20T03:39:22Z level=warn event=request_over_allowance customer=a host=edge-1 reason=over_allowance request=r5 role=entry status=429
 `
 
 func trace(t *testing.T, args ...string) (int, string, string) {
@@ -43,6 +45,7 @@
 		{"r2", "cause: its fate is open: endpoint i-2 broke off: unexpected EOF", "event=request_sent", "i-9"},
 		{"r3", "cause: answered after a load from store that took 6117.9 ms; it waited 6820 ms for an endpoint", "order_settled", "r1"},
 		{"r4", "cause: refused, it did not run: no endpoint held its model or adapter, or would before it had to give up, whose ETA was 13205 ms; it waited 38.5 ms for an endpoint", "event=model_eta", "r3"},
+		{"r5", "cause: refused, it did not run: its customer used all that it may; level 0 (late) gave way to level 2", "resource=allowance", "r3"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.request, func(t *testing.T) {
