--- a/internal/app/lab/engine.go
+++ b/internal/app/lab/engine.go
@@ -20,7 +20,9 @@
 	order         *runningOrder
 	active        []*request
 	queue         []*request
-	overcommitted bool // an order exceeded its memory or its adapter slots
+	number        int
+	slowness      float64 // by how much longer work takes there now
+	overcommitted bool    // an order exceeded its memory or its adapter slots
 }
 
 // runningOrder is a load or unload of weights in progress.
@@ -159,7 +161,7 @@
 		e.active, e.queue = append(e.active, e.queue[0]), e.queue[1:]
 	}
 	decode := tick - e.prefill(now, tick, &first)
-	step := stepTime + time.Duration(len(e.active))*stepPerSlot
+	step := time.Duration(e.slowness * float64(stepTime+time.Duration(len(e.active))*stepPerSlot))
 	e.active = slices.DeleteFunc(e.active, func(r *request) bool {
 		if r.firstTokenAt == 0 {
 			return false
@@ -182,14 +184,15 @@
 		if r.firstTokenAt != 0 || spent >= limit {
 			continue
 		}
-		need := time.Duration(r.prompt / tokensPerMS * float64(time.Millisecond) * r.stepScale)
+		scale := r.stepScale * e.slowness
+		need := time.Duration(r.prompt / tokensPerMS * float64(time.Millisecond) * scale)
 		if done := min(need, limit-spent); done < need {
-			r.prompt -= tokensPerMS * done.Seconds() * 1000 / r.stepScale
+			r.prompt -= tokensPerMS * done.Seconds() * 1000 / scale
 			spent = limit
 			continue
 		}
 		spent += need
-		r.prompt, r.firstTokenAt = 0, now+firstTokenDelay
+		r.prompt, r.firstTokenAt = 0, now+time.Duration(e.slowness*float64(firstTokenDelay))
 		*first = append(*first, r)
 	}
 	return spent
--- a/internal/app/lab/load.go
+++ b/internal/app/lab/load.go
@@ -42,6 +42,10 @@
 	ShiftInterval   time.Duration  `json:"shift"` // interval at which demand moves to other models; 0: never
 	ReplaceInterval time.Duration  `json:"renew"` // interval at which an engine is replaced by an empty one; 0: never
 	Duration        time.Duration  `json:"length"`
+	// Slowness is by how much longer work takes at the engines, in turn; empty if they are equal. Moments is
+	// the share of the time for which a host is slow besides.
+	Slowness []float64 `json:"-"`
+	Moments  float64   `json:"-"`
 }
 
 // Parameters of the emulated engines, from the operators' specifications.
@@ -83,7 +87,7 @@
 }
 
 // Sites returns the names that ByName accepts.
-func Sites() []string { return []string{"kyushu", "kigali"} }
+func Sites() []string { return []string{"kyushu", "kigali", "uneven"} }
 
 // ByName returns the site of that name, or nil if there is none.
 func ByName(name string, load float64) *Site {
@@ -92,6 +96,8 @@
 		return Kyushu(load)
 	case "kigali":
 		return Kigali(load)
+	case "uneven":
+		return Uneven(load)
 	}
 	return nil
 }
--- a/internal/app/lab/main.go
+++ b/internal/app/lab/main.go
@@ -14,9 +14,9 @@
 )
 
 type mainOptions struct {
-	Site      string        `long:"site" env:"CASSIAPASS_LAB_SITE" default:"kyushu" description:"kyushu or kigali: the deployment and its load"`
+	Site      string        `long:"site" env:"CASSIAPASS_LAB_SITE" default:"kyushu" description:"kyushu, kigali or uneven: the deployment and its load"`
 	Load      float64       `long:"load" env:"CASSIAPASS_LAB_LOAD" default:"1" description:"load as a multiple of the site's usual one"`
-	Policy    string        `long:"policy" env:"CASSIAPASS_LAB_POLICY" default:"all" description:"the policies to compare, separated by commas, or all"`
+	Policy    string        `long:"policy" env:"CASSIAPASS_LAB_POLICY" default:"all" description:"the policies to compare, separated by commas, all, or choices for those of an endpoint"`
 	Seeds     int           `long:"seeds" env:"CASSIAPASS_LAB_SEEDS" default:"8" description:"runs of each policy"`
 	Shift     time.Duration `long:"shift" env:"CASSIAPASS_LAB_SHIFT" default:"15s" description:"demand moves to another model this often; 0 never"`
 	Renew     time.Duration `long:"renew" env:"CASSIAPASS_LAB_RENEW" default:"0s" description:"an engine is replaced by an empty one this often; 0 never"`
@@ -149,11 +149,14 @@
 	return Summarize(runs)
 }
 
-// selectPolicies returns the policies of a comma-separated list of names, or nil if a name
+// selectPolicies returns the policies of a comma-separated list of names, of all or of choices, or nil if a name
 // is unknown.
 func selectPolicies(names string) []Policy {
-	if names == "all" {
+	switch names {
+	case "all":
 		return Policies()
+	case "choices":
+		return ChoicePolicies()
 	}
 	var out []Policy
 	for _, name := range strings.Split(names, ",") {
@@ -161,7 +164,7 @@
 		if i < 0 {
 			return nil
 		}
-		out = append(out, Policies()[i])
+		out = append(out, append(Policies(), ChoicePolicies()...)[i])
 	}
 	return out
 }
--- a/internal/app/lab/policy.go
+++ b/internal/app/lab/policy.go
@@ -16,6 +16,9 @@
 	// AllModels gives each engine every model regardless of memory. No policy can do
 	// better, since no request ever waits for a model.
 	AllModels bool
+	// Choice is how entries choose an endpoint, and Placing makes the speed of engines known to the planner.
+	Choice  Choice
+	Placing bool
 }
 
 // Policies returns the policies to compare, the one used in production first.
@@ -42,7 +45,7 @@
 
 func PolicyNames() []string {
 	var out []string
-	for _, p := range Policies() {
+	for _, p := range append(Policies(), ChoicePolicies()...) {
 		out = append(out, p.Name)
 	}
 	return out
--- a/internal/app/lab/run.go
+++ b/internal/app/lab/run.go
@@ -44,6 +44,8 @@
 	store       store
 	reportNow   []bool // by entry: whether a request has begun to wait
 	frozen      bool
+	choice      Choice
+	placing     bool
 	enginesMade int
 	out         *Outcome
 }
@@ -61,7 +63,7 @@
 // newRunner returns a runner whose engines hold their initial models.
 func newRunner(s *Site, p Policy, seed uint64) *runner {
 	x := &runner{site: s, r: rand.New(rand.NewPCG(seed, 1)), planner: fleet.New(p.Plan), engines: map[fleet.EndpointID]*engine{},
-		assigned: map[*request]*engine{}, store: store{maxFullSpeed: storeFullSpeed}, reportNow: make([]bool, s.Entries), frozen: p.Frozen, out: newOutcome(s, p), now: -leadTime}
+		assigned: map[*request]*engine{}, store: store{maxFullSpeed: storeFullSpeed}, reportNow: make([]bool, s.Entries), frozen: p.Frozen, choice: p.Choice, placing: p.Placing, out: newOutcome(s, p), now: -leadTime}
 	for range s.Entries {
 		x.uses = append(x.uses, map[useKey]*fleet.Use{})
 		x.arrived = append(x.arrived, map[fleet.Want]int{})
@@ -103,7 +105,8 @@
 		for _, m := range x.r.Perm(len(x.site.Names))[:min(x.site.Copies, len(x.site.Names))] {
 			e.disk[x.site.Names[m]] = true
 		}
-		for _, name := range append([]string{x.site.Names[i%2]}, x.names(order[i*2:min(len(order), i*2+3)])...) {
+		from := i * 2 % len(order)
+		for _, name := range append([]string{x.site.Names[i%2]}, x.names(order[from:min(len(order), from+3)])...) {
 			if e.held[name] == nil && e.heldMegabytes()+x.site.Spec.Models[name].Megabytes+400 <= e.spec.ModelMegabytes {
 				e.held[name], e.disk[name] = map[string]bool{}, true
 			}
@@ -135,7 +138,7 @@
 func (x *runner) newEngine() *engine {
 	id := fleet.EndpointID(fmt.Sprintf("e%03d", x.enginesMade))
 	x.enginesMade++
-	e := &engine{ep: fleet.Endpoint{ID: id, Service: "llm", Addr: string(id), Slots: x.site.Spec.Slots}, spec: x.site.Spec, held: map[string]map[string]bool{}, disk: map[string]bool{}}
+	e := &engine{number: x.enginesMade - 1, slowness: 1, ep: fleet.Endpoint{ID: id, Service: "llm", Addr: string(id), Slots: x.site.Spec.Slots}, spec: x.site.Spec, held: map[string]map[string]bool{}, disk: map[string]bool{}}
 	x.engines[id] = e
 	return e
 }
@@ -173,6 +176,7 @@
 	}
 	for _, e := range x.sorted() {
 		e.finishOrder(x.now)
+		e.slowness = x.slowness(e)
 		first, ended := e.runBatch(x.now, tick)
 		for _, r := range first {
 			x.out.answered(r, r.firstTokenAt)
@@ -192,6 +196,9 @@
 		x.every(x.site.ReplaceInterval, x.replaceOldest)
 	}
 	if !x.frozen {
+		if x.placing {
+			x.every(time.Second, x.informPlanner)
+		}
 		x.plan()
 	}
 	x.dispatch()
@@ -349,7 +356,7 @@
 		}
 		cands, to = append(cands, fleet.Candidate{Running: n, Slots: e.spec.Slots, SameZone: true}), append(to, e)
 	}
-	i := fleet.Choose(cands, x.r.IntN)
+	i := x.choose(r, cands, to)
 	if i < 0 {
 		return false
 	}
