--- a/internal/app/gateway/moves.go
+++ b/internal/app/gateway/moves.go
@@ -11,10 +11,10 @@
 
 // RunMover moves runs between endpoints and frees copies of their memory.
 type RunMover interface {
-	// MoveRun asks the endpoint at source to copy the memory of a request's run to the endpoint at
-	// target. With last, the run stops first, and its stream is closed without its end. The errors are
+	// MoveRun asks the endpoint source, at addr, to copy the memory of a request's run to the endpoint
+	// at target. With last, the run stops first, and its stream is closed without its end. The errors are
 	// ErrNoRun, ErrNotMoved, ErrNoRoom, ErrNoAnswer and ErrNotReached.
-	MoveRun(ctx context.Context, source, request, target string, last bool) (MovedRun, error)
+	MoveRun(ctx context.Context, source, addr, request, target string, last bool) (MovedRun, error)
 	// FreeCopy frees a copy at the endpoint at addr.
 	FreeCopy(ctx context.Context, addr, handle string) error
 }
@@ -31,7 +31,7 @@
 	ErrNotMoved   = errors.New("the endpoint did not move the run")
 	ErrNoRoom     = errors.New("the target has no room for the run, or cannot be reached")
 	ErrNoAnswer   = errors.New("the endpoint did not answer")
-	ErrNotReached = errors.New("no connection to the endpoint")
+	ErrNotReached = errors.New("no connection to the endpoint, or another one has its address")
 )
 
 // moveTarget returns the endpoint to which a run at e can be moved, and whether the run can go on there;
@@ -74,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	asked := time.Now()
-	m, err := x.g.cfg.Runs.MoveRun(ctx, e.Addr, x.info.ID, target.Addr, last)
+	m, err := x.g.cfg.Runs.MoveRun(ctx, e.Name(), e.Addr, x.info.ID, target.Addr, last)
 	p.target, p.handle = target, m.Handle
 	result := "moved"
 	switch {
--- a/internal/app/gateway/standby_test.go
+++ b/internal/app/gateway/standby_test.go
@@ -178,7 +178,7 @@
 }
 
 // MoveRun implements RunMover.
-func (w *engines) MoveRun(_ context.Context, source, request, target string, last bool) (MovedRun, error) {
+func (w *engines) MoveRun(_ context.Context, _, source, request, _ string, last bool) (MovedRun, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.moves = append(w.moves, request)
