--- a/internal/core/fleet/preparations.go
+++ b/internal/core/fleet/preparations.go
@@ -10,7 +10,7 @@
 	// preparedStoreInterval is the time in which one more preparation from the store is allowed,
 	// and preparedStoreBurst how many of them may be saved up: the loads that demand calls for
 	// need the store and the engines.
-	preparedStoreInterval = 20 * time.Second
+	preparedStoreInterval = 25 * time.Second
 	preparedStoreBurst    = 4
 	// preparedPause is how long a model gets no further preparation after one. Reports show its
 	// effect, and the demand whether it was right.
@@ -78,7 +78,7 @@
 	}
 	// Copies that were lost a moment ago may return with their engine.
 	returning := now.Sub(p.copyLostAt[s.model]) < returnWindow
-	if s.fromStore && !returning && p.storeIdle() && r.mayUseStore(now) && r.rested(now, preparation{s.model, true}) {
+	if s.fromStore && !returning && p.storeIdle(now) && r.mayUseStore(now) && r.rested(now, preparation{s.model, true}) {
 		return p.preparedCopy(now, s)
 	}
 	return nil
@@ -89,9 +89,18 @@
 	return now.Sub(r.lastAt[of]) >= preparedPause
 }
 
-// storeIdle reports whether nothing loads from the store or waits for it.
-func (p *Planner) storeIdle() bool {
-	return p.store.inFlight == 0 && len(p.survey.storeQueue) == 0 && p.store.freeSlots(false) > 0
+// storeIdle reports whether nothing loads from the store or waits for it. An engine whose state is
+// unsettled may load for a former leader.
+func (p *Planner) storeIdle(now time.Time) bool {
+	if p.store.inFlight > 0 || len(p.survey.storeQueue) > 0 || p.store.freeSlots(false) <= 0 {
+		return false
+	}
+	for _, e := range p.engines {
+		if eng, _ := p.spec(e, ""); eng != nil && e.usable(now) && e.order == nil && (!e.known || e.needsReport) {
+			return false
+		}
+	}
+	return true
 }
 
 // preparedReplica returns where a model gets one more replica from a copy into memory that is free
