Load an unheld busy model before a request waits, only into free memory

Cause: a model whose last engine leaves counted in replicate, which may unload other models for it, beside what serve does for the same model in the same plan.

--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -79,6 +79,7 @@
 		p.serve(now, want, &w)
 	}
 	p.fetchMissing(now, &w)
+	p.mendUnheld(now, &w)
 	p.replicate(now, &w)
 	p.keepHeadroom(now, &w)
 	p.prepare(now, &w)
@@ -171,7 +172,7 @@
 		holders, _ := p.replicas(now, name)
 		want := p.foreseenRate(now, name) / p.ratePerReplica(name)
 		lost := p.lostReplicas(now, name)
-		for ; (holders > 0 || p.foresight != nil) && holders < p.maxReplicas() && float64(holders)-lost < want; holders++ {
+		for ; holders > 0 && holders < p.maxReplicas() && float64(holders)-lost < want; holders++ {
 			p.place(now, name, false, w)
 		}
 	}
--- a/internal/core/fleet/protect.go
+++ b/internal/core/fleet/protect.go
@@ -21,6 +21,30 @@
 	return rate >= busyRate && rate > float64(p.survey.holders[name]-2)*p.ratePerReplica(name)/p.cfg.Crowded
 }
 
+// mendUnheld loads busy models that no engine serves any more, before a request waits for them: their
+// engines leave, pause or have ended. It takes no memory from other models; serve does, once requests
+// wait.
+func (p *Planner) mendUnheld(now time.Time, w *Work) {
+	if p.foresight == nil {
+		return
+	}
+	for _, name := range p.survey.busy {
+		holders, _ := p.replicas(now, name)
+		if _, waits := p.survey.longestWait[name]; waits || holders > 0 {
+			continue
+		}
+		var best *placement
+		for e := range p.copies.engines(name) {
+			if s, ok := p.placement(now, e, name, false); ok && s.victim == "" && s.cheaper(best) {
+				best = &s
+			}
+		}
+		if best != nil {
+			p.issuePlacement(now, name, *best, w)
+		}
+	}
+}
+
 // copiesAtRisk returns the cost of a load from the store on an engine for the models of which it has
 // the only usable copy.
 func (p *Planner) copiesAtRisk(now time.Time, e *engine) float64 {
