standby: no copy of runs that may be repeated, none asked for before one can be there

A copy now counts as there once events have come, or twice the time in which its first part arrives has passed. 2. Reading a prompt of 800 tokens again takes some 20 ms, so such runs get no copy any more. Tests: a source that ends at once (fails before: the holder is asked); streams that may be resumed are resumed with a second run as before; the ledger gives no copy to a run that may be repeated (that check had it take half of the bound).

--- a/internal/app/gateway/standby.go
+++ b/internal/app/gateway/standby.go
@@ -61,7 +61,7 @@
 // "" if there is none. A run that goes on keeps the copy that it has until it is used.
 func (x *exchange) protect(e *endpoint) string {
 	en := x.engine()
-	if !x.standby || en == nil || !en.Backups || x.goOnFrom != "" {
+	if !x.standby || en == nil || !en.Backups || x.goOnFrom != "" || x.route.MayRepeat() {
 		return ""
 	}
 	x.unprotect()
@@ -285,7 +285,7 @@
 
 // copyUsable reports whether the copy of the run at e may be there and its holder takes requests.
 func (x *exchange) copyUsable(e *endpoint) bool {
-	return x.copy != nil && x.copy.source == e && !x.g.dir.isLeaving(x.copy.holder)
+	return x.copy != nil && x.copy.source == e && standby.MayHaveArrived(time.Since(x.sentAt), x.eventsSent) && !x.g.dir.isLeaving(x.copy.holder)
 }
 
 // attemptGoOn sends the request to where its run goes on.
--- a/internal/core/standby/copies.go
+++ b/internal/core/standby/copies.go
@@ -10,9 +10,6 @@
 	// copyShare is the share of a holder's memory that copies of runs may take, as this process
 	// expects it. Full batches of runs of usual size leave at least half of it free.
 	copyShare = 0.5
-	// repeatableShare is the share of that bound up to which runs get a copy that could also be
-	// repeated elsewhere.
-	repeatableShare = 0.5
 	// entryPeak is how much more than an even part of a bound one entry may use: entries are
 	// unequally busy, and their peaks do not coincide.
 	entryPeak = 4
@@ -67,11 +64,13 @@
 	at     time.Time
 }
 
-// Pick returns the index of the holder for a copy of a run, -1 if it is to have none. Holders in the
+// Pick returns the index of the holder for a copy of a run, -1 if it is to have none: a run that may be
+// repeated reads its prompt again elsewhere in tens of milliseconds, while its copy takes memory from
+// runs at the holder, which are then preempted. Holders in the
 // same zone are taken first: copies between zones take twice as long. Among them the one with the most
 // room is taken, by the copies of this entry and the requests that run there.
 func (l *Ledger) Pick(now time.Time, r Run, holders []Holder, b Bounds) int {
-	if r.Expected > 0 && r.Expected < copyDelay {
+	if r.Repeatable || r.Expected > 0 && r.Expected < copyDelay {
 		return -1
 	}
 	best := -1
@@ -87,19 +86,15 @@
 }
 
 func (l *Ledger) hasRoom(now time.Time, r Run, id fleet.EndpointID, b Bounds) bool {
-	share := 1.0
-	if r.Repeatable {
-		share = repeatableShare
-	}
 	h := l.held[id]
 	if h == nil {
 		h = &heldCopies{}
 	}
-	if b.Tokens > 0 && float64(h.tokens+r.Tokens) > float64(b.Tokens)*share {
+	if b.Tokens > 0 && float64(h.tokens+r.Tokens) > float64(b.Tokens) {
 		return false
 	}
 	bytes := float64(int64(r.Tokens) * b.Token)
-	return b.Bytes <= 0 || bytes == 0 || h.bytesAt(now)+bytes <= b.Bytes*share
+	return b.Bytes <= 0 || bytes == 0 || h.bytesAt(now)+bytes <= b.Bytes
 }
 
 func (l *Ledger) better(a, b Holder) bool {
@@ -159,3 +154,9 @@
 	}
 	return copies, tokens
 }
+
+// MayHaveArrived reports whether a copy may be there of a run that was sent so long ago and of which
+// events have come. Before, its holder would be asked for nothing, and might begin the run anew.
+func MayHaveArrived(sent time.Duration, events int) bool {
+	return events > 0 || sent >= 2*copyDelay
+}
