pace: short segments weigh less, a change shows at once, a verdict fades more slowly

Causes, all found by tests: TestEndpointThatLiesAboutItsSpeed failed twice in 60 runs (20 and 21 of 400 late, bound below 20): a verdict had faded unseen after some 25 s and the engine was proven slow anew. The proof of a verdict now halves in 40 s; unproven sums go on halving in 20 s (with 40 s for both, 33 entries alone called 5 of 1,848 equal engines slow or fast in a minute; bound 2). 100 runs of the gateway's tests of this part since: none failed.

A segment that takes less than 0.5 s at the usual pace weighs as much less: entries with a tenth of a core receive events up to a tenth of a second late.

The factor is the mean since the sums began to rise where that is further from 1 than the estimate.

Ruled out: a threshold for each side alone and a weaker prior (4 to 5 of 3,000 equal engines told apart at once; bound 3), a bound on each observation relative to its cell (a change to a tenth not known after 4 s).

Test: core/pace and app/gateway whole; core/pace 40 times without the slow one, and that 5 times with equal results.

--- a/internal/app/gateway/pace.go
+++ b/internal/app/gateway/pace.go
@@ -16,6 +16,10 @@
 	minSegmentEvents = 4
 	segmentTime      = 500 * time.Millisecond
 	slowSegment      = 1500 * time.Millisecond
+	// leastWeight is the least weight of a segment as an observation. One that takes less than
+	// segmentTime at the usual pace weighs as much less: an entry with a tenth of a core receives events
+	// up to a tenth of a second late.
+	leastWeight = 0.1
 	// answerWeight is the weight of a whole answer of a plain service, whose work varies more
 	// from one to the next, as an observation.
 	answerWeight = 0.25
@@ -247,10 +251,15 @@
 func (d *directory) recordSegment(e *endpoint, l *requestLoad, events int, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.paces.book.Record(l.kind, string(e.ID), took/time.Duration(events), 1)
+	usual := took
 	if t := d.paces.timesOf(l.kind); t != nil {
+		if event := t.Event(); event > 0 {
+			usual = event * time.Duration(events)
+		}
 		t.RecordEvents(events, took, l.pace)
 	}
+	weight := min(max(usual.Seconds()/segmentTime.Seconds(), leastWeight), 1)
+	d.paces.book.Record(l.kind, string(e.ID), took/time.Duration(events), weight)
 }
 
 // recordFirst records how long a first event took.
--- a/internal/core/pace/book.go
+++ b/internal/core/pace/book.go
@@ -12,9 +12,11 @@
 	// streams there together, and lasts some 0.6 s.
 	updateInterval = time.Second
 	maxUnits       = 1.5
-	// halfLife is the time in which evidence halves. An endpoint that is avoided is tried again
-	// some half-lives later.
-	halfLife = 20 * time.Second
+	// halfLife is the time in which observations halve, and what they prove before a test has decided;
+	// proofHalfLife is that time for the proof of a verdict. An endpoint that is avoided and not seen is tried again after some three quarters of a minute; if it
+	// is still slow, half of the proof is left.
+	halfLife      = 20 * time.Second
+	proofHalfLife = 40 * time.Second
 	// negligible is the number of observations below which a cell is dropped.
 	negligible = 0.2
 	// priorObservations is the weight of the assumption that an endpoint works at the usual pace,
@@ -232,7 +234,7 @@
 	b.fit()
 	b.centre = b.median()
 	for id, e := range b.endpoints {
-		e.judge(kept, threshold(max(endpoints, len(b.endpoints))), b.centre)
+		e.judge(passed, threshold(max(endpoints, len(b.endpoints))), b.centre)
 		if len(e.cells) == 0 && e.factor == Usual {
 			delete(b.endpoints, id)
 		}
@@ -296,17 +298,17 @@
 }
 
 // judge continues the test of an endpoint with the observations since the last update.
-func (e *endpointPart) judge(kept, threshold, centre float64) {
-	e.test.fade(kept)
+func (e *endpointPart) judge(passed time.Duration, threshold, centre float64) {
+	e.test.fade(passed)
 	if ratio, units := e.news(); units > 0 {
 		e.test.observe(max(-maxLogRatio, min(ratio-centre, maxLogRatio)), e.log-centre, units, threshold)
 	}
 	e.factor = Usual
 	switch e.test.decide(threshold) {
 	case slow:
-		e.factor = Factor(min(max(math.Exp(e.log-centre), math.Sqrt2), maxFactor))
+		e.factor = Factor(min(max(math.Exp(max(e.log-centre, e.test.ratio())), math.Sqrt2), maxFactor))
 	case fast:
-		e.factor = Factor(max(min(math.Exp(e.log-centre), 1/math.Sqrt2), minFactor))
+		e.factor = Factor(max(min(math.Exp(min(e.log-centre, e.test.ratio())), 1/math.Sqrt2), minFactor))
 	}
 }
 
--- a/internal/core/pace/test.go
+++ b/internal/core/pace/test.go
@@ -1,10 +1,13 @@
 package pace
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// errorRate is the probability with which, in one run of the test over all endpoints, an
-	// endpoint as fast as its peers is called slow or fast.
+	// errorRate is the probability with which, in one run of a test over all endpoints, an endpoint
+	// as fast as its peers is called slow, and the same for fast.
 	errorRate = 0.001
 	// deviation is the standard deviation of the log ratio of one independent observation: a host
 	// that works 2.5 times as slowly for a sixth of the time has 0.33.
@@ -14,6 +17,8 @@
 	// maxStep is what one independent observation adds at most, in nats. Slow moments of hosts make
 	// large log ratios more frequent than a normal distribution has them.
 	maxStep = 2.5
+	// minUnits is the number of independent observations from which on their mean counts as a whole.
+	minUnits = 5
 	// excess is how far beyond the threshold a test goes at most, in nats, so that a change shows
 	// soon.
 	excess = 2
@@ -34,13 +39,22 @@
 	slow, fast float64
 	units      float64 // independent observations
 	last       verdict
+	// changed is what was observed since a sum was 0 last: since the endpoint changed, if it did.
+	changed struct{ units, sum float64 }
 }
 
 // threshold returns the sum from which on a test decides, if it is made for a number of endpoints.
 func threshold(endpoints int) float64 { return math.Log(2 * float64(max(endpoints, 1)) / errorRate) }
 
 // fade weakens what was observed earlier.
-func (t *test) fade(kept float64) { t.slow, t.fast, t.units = t.slow*kept, t.fast*kept, t.units*kept }
+func (t *test) fade(passed time.Duration) {
+	half := halfLife
+	if t.last != usual {
+		half = proofHalfLife
+	}
+	kept := math.Exp2(-passed.Seconds() / half.Seconds())
+	t.slow, t.fast, t.units = t.slow*kept, t.fast*kept, t.units*kept
+}
 
 // observe adds independent observations with a mean log ratio. overall is the log ratio by all that
 // was observed, whose reference is better known than it was earlier: where the new observations
@@ -50,14 +64,21 @@
 	step := func(sum, ratio, overall float64) float64 {
 		llr := units * evidence(ratio)
 		sum += llr
-		if llr > 0 {
+		if llr > 0 && t.units >= minUnits {
 			sum = max(sum, t.units*evidence(overall))
 		}
 		return min(max(sum, 0), threshold+excess)
 	}
 	t.slow, t.fast = step(t.slow, ratio, overall), step(t.fast, -ratio, -overall)
+	t.changed.units, t.changed.sum = t.changed.units+units, t.changed.sum+units*ratio
+	if t.slow == 0 && t.fast == 0 {
+		t.changed.units, t.changed.sum = 0, 0
+	}
 }
 
+// ratio returns the mean log ratio since the endpoint changed.
+func (t *test) ratio() float64 { return t.changed.sum / max(t.changed.units, 1) }
+
 // evidence returns the log likelihood ratio of one independent observation.
 func evidence(ratio float64) float64 {
 	return min(tested*(ratio-tested/2)/(deviation*deviation), maxStep)
--- a/internal/core/pace/work.go
+++ b/internal/core/pace/work.go
@@ -110,15 +110,20 @@
 	t.events, t.seconds = t.events*kept+float64(events), t.seconds*kept+took.Seconds()/factor
 }
 
+// Event returns how long it takes from one event to the next at the usual pace, 0 if that is not known.
+func (t *TimesOf) Event() time.Duration {
+	if t.events == 0 {
+		return 0
+	}
+	return seconds(t.seconds / t.events)
+}
+
 // Times returns what was learned, and false if that is too little.
 func (t *TimesOf) Times(eventTokens int) (Times, bool) {
 	if t.n < fewStreams {
 		return Times{}, false
 	}
-	out := Times{EventTokens: eventTokens, Usual: Work{int(t.x / t.n), int(t.output / t.n)}}
-	if t.events > 0 {
-		out.Event = seconds(t.seconds / t.events)
-	}
+	out := Times{EventTokens: eventTokens, Event: t.Event(), Usual: Work{int(t.x / t.n), int(t.output / t.n)}}
 	mean := t.y / t.n
 	slope := 0.0
 	if spread := t.xx - t.x*t.x/t.n; spread > 0 {
