gateway: a request's work stays counted where it was chosen for, and a stream's pace where it runs

Cause: a stream may go on at another endpoint within an attempt; its prompt was then subtracted there, and its segment mixed both.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -281,10 +281,10 @@
 	if !c.listing && now.Sub(c.listStarted) >= listInterval {
 		c.readList(now)
 	}
+	c.updatePaces(now)
 	c.updateHolding(now)
 	c.commitDueQuarantines(now)
 	c.publishNotices(now)
-	c.updatePaces(now)
 	if c.listOK && c.fencedTerm != c.term && c.holding.recorded {
 		c.execute(c.planner.Plan(now))
 		c.met.observePlan(time.Since(now))
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -66,6 +66,7 @@
 	firstByte       time.Duration        // time until the first byte of the answer
 	eventsSent      int                  // stream events forwarded
 	answering       *endpoint            // whose stream is forwarded
+	load            *requestLoad         // nil unless endpoints are chosen by expected finish
 	bound           bool                 // only endpoints of release may go on with the stream
 	release         release.Name         // that sent the first event
 	parts           []poison.Fingerprint // of its prompt, that other requests may share
@@ -78,7 +79,6 @@
 	sentAt          time.Time        // when the newest attempt was sent
 	firstEventAt    time.Time        // when the first event of the newest answer came; zero before
 	lastEndpoint    fleet.EndpointID // the one that it was sent to last
-	load            *requestLoad     // nil unless endpoints are chosen by expected finish
 }
 
 // answer is a complete answer of an endpoint.
@@ -188,7 +188,7 @@
 		if !res.notSent {
 			x.reachedSends++
 		}
-		x.endLoad(e)
+		x.endLoad()
 		x.g.dir.release(e, x.info.Want, res.outcome)
 		if res.notSent {
 			x.g.dir.returnPermit(e, x.waiter)
@@ -204,7 +204,7 @@
 
 // giveBack ends a request at an endpoint that it is not sent to after all.
 func (x *exchange) giveBack(e *endpoint) {
-	x.endLoad(e)
+	x.endLoad()
 	x.g.dir.release(e, x.info.Want, abandoned)
 	x.g.dir.returnPermit(e, x.waiter)
 }
--- a/internal/app/gateway/pace.go
+++ b/internal/app/gateway/pace.go
@@ -123,8 +123,10 @@
 	first    time.Duration // expected until the first event; 0 if not known
 	finish   time.Duration // expected for the whole answer; 0 if not known
 	extra    float64       // by how many usual requests it asks for more than one
-	reading  bool          // its prompt is counted at the endpoint
+	chosen   *endpoint     // at which its work is counted
+	reading  bool          // its prompt is counted there
 
+	answering     *endpoint // whose stream is observed
 	segmentAt     time.Time // start of the present segment of the stream; zero before the first event
 	segmentEvents int
 }
@@ -180,7 +182,7 @@
 		return
 	}
 	l.pace, l.evidence, l.factor = pace.Factor(e.pace).Or(), e.evidence, e.factor(now)
-	l.segmentAt, l.segmentEvents = time.Time{}, 0
+	l.chosen, l.answering, l.segmentAt, l.segmentEvents = e, nil, time.Time{}, 0
 	l.first, l.finish, l.extra = 0, 0, 0
 	if t := d.paces.times[l.kind]; t != nil {
 		if times, known := t.Times(l.eventTokens); known {
@@ -193,25 +195,25 @@
 	l.reading = true
 }
 
-// endReading ends the part of a request in which its prompt is read.
-func (l *requestLoad) endReading(e *endpoint) {
+// endReading ends the part of a request in which its prompt is read. The caller holds mu.
+func (l *requestLoad) endReading() {
 	if l.reading {
-		e.reading -= l.work.Prompt
+		l.chosen.reading -= l.work.Prompt
 		l.reading = false
 	}
 }
 
-// endLoad ends a request's work at an endpoint.
-func (x *exchange) endLoad(e *endpoint) {
+// endLoad ends a request's work at the endpoint chosen for it.
+func (x *exchange) endLoad() {
 	l := x.load
-	if l == nil {
+	if l == nil || l.chosen == nil {
 		return
 	}
-	x.flushSegment(e)
+	x.flushSegment()
 	x.g.dir.mu.Lock()
 	defer x.g.dir.mu.Unlock()
-	l.endReading(e)
-	e.extraWork -= l.extra
+	l.endReading()
+	l.chosen.extraWork -= l.extra
 	l.extra = 0
 }
 
@@ -222,29 +224,32 @@
 		return
 	}
 	now := time.Now()
-	if l.segmentAt.IsZero() {
-		l.segmentAt = now
-		x.g.dir.recordFirst(e, l, now.Sub(x.sentAt))
+	if l.answering != e {
+		x.flushSegment()
+		if l.answering == nil && e == l.chosen {
+			x.g.dir.recordFirst(l, now.Sub(x.sentAt))
+		}
+		l.answering, l.segmentAt, l.segmentEvents = e, now, 0
 		return
 	}
 	l.segmentEvents += n
 	took := now.Sub(l.segmentAt)
 	if l.segmentEvents >= segmentEvents && took >= segmentTime || l.segmentEvents >= minSegmentEvents && took >= slowSegment {
-		x.recordSegment(e, now)
+		x.recordSegment(now)
 	}
 }
 
 // flushSegment records the last segment of a stream that has ended. Events that did not come count
 // as time: a stream that drags until its caller leaves says as much as others.
-func (x *exchange) flushSegment(e *endpoint) {
+func (x *exchange) flushSegment() {
 	if x.load != nil && x.load.segmentEvents >= minSegmentEvents {
-		x.recordSegment(e, time.Now())
+		x.recordSegment(time.Now())
 	}
 }
 
-func (x *exchange) recordSegment(e *endpoint, now time.Time) {
+func (x *exchange) recordSegment(now time.Time) {
 	l := x.load
-	x.g.dir.recordSegment(e, l, l.segmentEvents, now.Sub(l.segmentAt))
+	x.g.dir.recordSegment(l.answering, l, l.segmentEvents, now.Sub(l.segmentAt))
 	l.segmentAt, l.segmentEvents = now, 0
 }
 
@@ -263,10 +268,10 @@
 }
 
 // recordFirst records how long a first event took.
-func (d *directory) recordFirst(e *endpoint, l *requestLoad, took time.Duration) {
+func (d *directory) recordFirst(l *requestLoad, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l.endReading(e)
+	l.endReading()
 	if t := d.paces.timesOf(l.kind); t != nil {
 		t.RecordFirst(l.work, took, l.factor)
 	}
@@ -279,7 +284,7 @@
 		return
 	}
 	took := time.Since(x.sentAt)
-	x.g.dir.recordFirst(e, l, took)
+	x.g.dir.recordFirst(l, took)
 	x.g.dir.mu.Lock()
 	defer x.g.dir.mu.Unlock()
 	x.g.dir.paces.book.Record(l.kind, string(e.ID), took, answerWeight)
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -76,8 +76,8 @@
 		p.serve(now, want, &w)
 	}
 	p.fetchMissing(now, &w)
-	p.relieveSlow(now, &w)
 	p.replicate(now, &w)
+	p.relieveSlow(now, &w)
 	p.keepHeadroom(now, &w)
 	p.queries(now, &w)
 	return w
