--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -281,11 +281,11 @@
 	if !c.listing && now.Sub(c.listStarted) >= listInterval {
 		c.readList(now)
 	}
+	c.updatePaces(now)
 	c.updateHolding(now)
 	c.commitDueQuarantines(now)
 	c.publishNotices(now)
 	c.planner.SetByLevel(c.enabled(feature.Urgency))
-	c.updatePaces(now)
 	if c.listOK && c.fencedTerm != c.term && c.holding.recorded {
 		c.planner.SetForesight(c.enabled(feature.Foresight))
 		c.execute(c.planner.Plan(now))
--- a/internal/app/gateway/standby.go
+++ b/internal/app/gateway/standby.go
@@ -171,7 +171,6 @@
 		return false
 	}
 	d.countSend(e, x.info.Want)
-	d.beginLoad(now, e, x.load)
 	d.signalPermits(now)
 	return true
 }
@@ -302,7 +301,7 @@
 	if !res.notSent {
 		x.reachedSends++
 	}
-	x.endLoad(p.at)
+	x.flushSegment()
 	x.g.dir.release(p.at, x.info.Want, res.outcome)
 	if res.notSent {
 		x.g.dir.returnPermit(p.at, x.waiter)
--- a/internal/core/fleet/orders.go
+++ b/internal/core/fleet/orders.go
@@ -80,8 +80,8 @@
 	}
 	p.fetchMissing(now, &w)
 	p.mendUnheld(now, &w)
-	p.relieveSlow(now, &w)
 	p.replicate(now, &w)
+	p.relieveSlow(now, &w)
 	p.keepHeadroom(now, &w)
 	p.prepare(now, &w)
 	p.queries(now, &w)
