A run is left for its copy only where its source answers nobody

Cause: an engine that leaves single requests without an answer may leave the order to stop a run unread and work on after its connection closes; going on from the copy would have been a second engine at work on the run. Now a move that times out counts only if the health path stays silent as well, a connection that is closed or answers otherwise counts as alive, and one that does not come about is tried twice. Test: an engine that answers others keeps its run, one that answers nobody loses it.

--- a/internal/app/gateway/moves.go
+++ b/internal/app/gateway/moves.go
@@ -13,8 +13,11 @@
 type RunMover interface {
 	// MoveRun asks the endpoint source, at addr, to copy the memory of a request's run to the endpoint
 	// at target. With last, the run stops first, and its stream is closed without its end. The errors are
-	// ErrNoRun, ErrNotMoved, ErrNoRoom, ErrNoAnswer and ErrNotReached.
+	// ErrNoRun, ErrNotMoved, ErrNoRoom, ErrNoAnswer, ErrNotReached and ErrReplaced.
 	MoveRun(ctx context.Context, source, addr, request, target string, last bool) (MovedRun, error)
+	// Silent reports whether an endpoint takes connections and answers nothing on its health path within
+	// the time that ctx allows. A closed connection or any answer shows that it works.
+	Silent(ctx context.Context, addr, healthPath string) bool
 	// FreeCopy frees a copy at the endpoint at addr.
 	FreeCopy(ctx context.Context, addr, handle string) error
 }
@@ -30,8 +33,9 @@
 	ErrNoRun      = errors.New("the endpoint does not run the request")
 	ErrNotMoved   = errors.New("the endpoint did not move the run")
 	ErrNoRoom     = errors.New("the target has no room for the run, or cannot be reached")
-	ErrNoAnswer   = errors.New("the endpoint did not answer")
-	ErrNotReached = errors.New("no connection to the endpoint, or another one has its address")
+	ErrNoAnswer   = errors.New("the endpoint did not answer in time")
+	ErrNotReached = errors.New("no connection to the endpoint")
+	ErrReplaced   = errors.New("another endpoint has the address")
 )
 
 // moveTarget returns the endpoint to which a run at e can be moved, and whether the run can go on there;
@@ -71,10 +75,10 @@
 		s.rescues.End(e.ID)
 		s.mu.Unlock()
 	}()
-	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	asked := time.Now()
-	m, err := x.g.cfg.Runs.MoveRun(ctx, e.Name(), e.Addr, x.info.ID, target.Addr, last)
+	m, err := x.g.cfg.Runs.MoveRun(moveCtx, e.Name(), e.Addr, x.info.ID, target.Addr, last)
 	p.target, p.handle = target, m.Handle
 	result := "moved"
 	switch {
@@ -84,9 +88,11 @@
 		p.move, result = standby.Stopped, "stopped"
 	case errors.Is(err, ErrNoRun):
 		p.move, result = standby.NoRun, "no_run"
-	case errors.Is(err, ErrNotReached):
+	case errors.Is(err, ErrReplaced):
+		p.move, result = standby.Unreached, "replaced"
+	case errors.Is(err, ErrNotReached) && x.sourceState(e) != standby.Alive:
 		p.move, result = standby.Unreached, "not_reached"
-	case errors.Is(err, ErrNoAnswer):
+	case errors.Is(err, ErrNoAnswer) && x.silent(ctx, e):
 		p.move, result = standby.Unanswered, "no_answer"
 	default:
 		p.move, result = standby.NotStopped, "not_stopped"
@@ -95,3 +101,21 @@
 	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("source", string(e.ID)).Str("target", string(target.ID)).Str("result", result).Bool("last", last).Int("made", m.Made).Int("events", p.events).Dur("silent", p.silent).
 		Dur("took", time.Since(asked)).Err(err).Msg("run_moved")
 }
+
+// silent reports whether an endpoint that did not answer a move answers nothing else either. One that
+// fails single requests only may not have read the move, and may not notice a closed connection.
+func (x *exchange) silent(ctx context.Context, e *endpoint) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, silentTimeout)
+	defer cancel()
+	path := ""
+	if t := x.g.table.Load(); t != nil && t.Config().Services[x.service] != nil {
+		path = t.Config().Services[x.service].HealthPath
+	}
+	return path != "" && x.g.cfg.Runs.Silent(ctx, e.Addr, path)
+}
+
+// silentTimeout bounds that question. Endpoints answer it at once.
+const silentTimeout = 300 * time.Millisecond
--- a/internal/app/gateway/standby_test.go
+++ b/internal/app/gateway/standby_test.go
@@ -28,6 +28,9 @@
 // lastPiece is the number of events of a run of the fake engines.
 const lastPiece = 6
 
+// errUnread has an engine leave a move unread.
+var errUnread = errors.New("not read")
+
 // engineFault is what an engine does to the runs that begin there.
 type engineFault struct {
 	at   int    // after this many events; the fault happens once
@@ -46,6 +49,7 @@
 	noCopies bool
 	random   func(id string, piece int) string // instead of faults
 	answers  func(id string) error             // to moves, instead of the true ones
+	healthy  bool                              // engines answer on their health path whatever else they leave unanswered
 	skip     bool                              // runs that go on leave one event out
 	fresh    map[string]int                    // runs begun without a copy, by request
 	running  map[string]string                 // address at which a request runs
@@ -175,6 +179,7 @@
 		case "dark":
 			w.mu.Lock()
 			w.dark[addr] = true
+			_ = b.l.Close()
 			delete(w.running, id) // a host that has ended without closing its connections
 			w.mu.Unlock()
 			<-stop
@@ -210,7 +215,9 @@
 	}
 	if w.answers != nil {
 		switch err := w.answers(request); {
-		case errors.Is(err, ErrNotReached), errors.Is(err, ErrNoAnswer): // it is cut off, or stops unheard
+		case errors.Is(err, errUnread):
+			return MovedRun{}, ErrNoAnswer
+		case errors.Is(err, ErrReplaced), errors.Is(err, ErrNoAnswer): // it has ended, or stops unheard
 			if w.running[request] == source {
 				close(w.stop[request])
 				delete(w.running, request)
@@ -245,6 +252,13 @@
 	return len(w.moves)
 }
 
+// Silent implements RunMover.
+func (w *engines) Silent(context.Context, string, string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.healthy
+}
+
 // FreeCopy implements RunMover.
 func (w *engines) FreeCopy(_ context.Context, addr, handle string) error {
 	w.mu.Lock()
@@ -257,6 +271,7 @@
 // endpoint may run a request.
 func standbyDeployment() *deploy.Config {
 	d := testDeployment()
+	d.Services["s"].HealthPath = "/health"
 	d.Services["s"].Engine = &deploy.Engine{Slots: 4, KVTokens: 100000, Backups: true, Moves: true, KVTokenBytes: 1 << 17, LinkMbps: 260000}
 	for i := range d.Routes {
 		d.Routes[i].Objective, d.Routes[i].MaxGap, d.Routes[i].SilenceLimit = 100*time.Millisecond, 100*time.Millisecond, 2400*time.Millisecond
@@ -554,7 +569,7 @@
 		return kinds[r.IntN(len(kinds))]
 	}
 	w.answers = func(string) error {
-		return []error{nil, nil, nil, ErrNotReached, ErrNoAnswer, ErrNotMoved, ErrNoRun}[r.IntN(7)]
+		return []error{nil, nil, nil, ErrReplaced, ErrNoAnswer, ErrNotMoved, ErrNoRun, ErrNotReached}[r.IntN(8)]
 	}
 	g := startStandby(t, w, feature.On)
 	eps := listed(w.bs...)
@@ -594,3 +609,22 @@
 		t.Error("the faults left nothing to check")
 	}
 }
+
+// Guards against two engines that work on one run: an engine fails single requests, moves among them, and
+// works on although the connection is closed. One that answers nothing at all is left for the copy.
+func TestSilentRunStaysAtAnEngineThatAnswersOthers(t *testing.T) {
+	for _, healthy := range []bool{true, false} {
+		is := is.New(t)
+		w := newEngines(t, 2)
+		w.healthy = healthy
+		w.fault(engineFault{at: 3, how: "mute"})
+		w.answers = func(string) error { return ErrNoAnswer }
+		if healthy {
+			w.answers = func(string) error { return fmt.Errorf("%w, and works on", errUnread) }
+		}
+		g := startStandby(t, w, feature.On)
+		got := dial(t, g).ask("POST", "/stream/", "r1", "x", "Model: m", "Output: 100", "Left: 1500")
+		is.Equal(got.err != nil, healthy)
+		is.Equal(min(1, w.bs[0].arrivals())+min(1, w.bs[1].arrivals()) == 1, healthy)
+	}
+}
--- a/internal/core/standby/decide.go
+++ b/internal/core/standby/decide.go
@@ -22,8 +22,8 @@
 	Stopped         // the run has stopped, and only the source holds its memory
 	NoRun           // the source does not run it: it never began, or is over
 	NotStopped      // the source answered without stopping the run: another move is in progress, or it cannot
-	Unanswered      // the source accepted the question and did not answer
-	Unreached       // no connection came about
+	Unanswered      // the source took the question and answers nothing at all, whoever asks what
+	Unreached       // no connection came about, twice, or a later process has the address
 )
 
 // Break is the state of a stream that broke off or fell silent.
@@ -72,8 +72,9 @@
 //
 // At most one run: the run goes on elsewhere only if its source certainly does not work on it any more,
 // or cannot be reached from here. A source that has ended works on nothing. One that answers a move has
-// stopped the run or does not have it. One that accepted the question and stays mute stops the run as
-// soon as it reads the question. One that answers otherwise may still work on the run, so the stream ends.
+// stopped the run or does not have it. One that answers nothing at all has gone dark: it brings nothing to
+// anybody, and stops the run as soon as it reads the question. One that leaves only this question without
+// an answer, or answers otherwise, may still work on the run: the stream waits, or ends if it broke off.
 func Decide(b Break) Action {
 	switch {
 	case b.Left < MinLeft:
