An engine that closes new connections is not taken for one that ended

Cause: the shared check counts a connection that is accepted and closed as the end of a process. An engine over its number of connections does that as well, and works on: its run would have gone on from the copy beside it. Standby confirms an end by a refused connection, and a silent host by a second try. The list's word that an endpoint is gone is no proof either: one that leaves serves on for seconds. Test: a listener that closes each connection is alive, without it it has ended; -race over the part green.

--- a/internal/app/gateway/silence.go
+++ b/internal/app/gateway/silence.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/sockets"
 	"github.com/cassiapass/cassiapass/internal/core/ending"
 	"github.com/cassiapass/cassiapass/internal/core/limit"
 	"github.com/cassiapass/cassiapass/internal/core/standby"
@@ -217,23 +219,36 @@
 	return x.g.budget(x.service, func(b *limit.Shared) bool { return b.Left() >= 1 })
 }
 
-// sourceState finds out whether an endpoint still lives. The check shares its result with other streams
-// that broke off in the same moment.
+// sourceState finds out whether an endpoint still lives. The first check shares its result with other
+// streams that broke off in the same moment. What it finds is confirmed: an endpoint with too many
+// connections closes new ones as one does that ends, and a packet may have been lost.
 func (x *exchange) sourceState(e *endpoint) standby.Source {
-	if x.g.dir.isRemoved(e) {
-		return standby.Ended
-	}
-	switch x.g.liveness.check(e.ID, e.Addr, time.Now().Add(-brokeTogether)) {
-	case ending.Gone:
-		return standby.Ended
-	case ending.Alive:
+	if x.g.liveness.check(e.ID, e.Addr, time.Now().Add(-brokeTogether)) == ending.Alive {
 		return standby.Alive
 	}
-	return standby.Unreachable
+	return confirmSource(e.Addr)
 }
 
-func (d *directory) isRemoved(e *endpoint) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return e.removed
+const (
+	// confirmations is how often an endpoint is tried that closes new connections, and confirmPause the
+	// time between: one that ends refuses them by then.
+	confirmations = 3
+	confirmPause  = 20 * time.Millisecond
+)
+
+// confirmSource returns Ended only if the host refuses connections at the address.
+func confirmSource(addr string) standby.Source {
+	d := sockets.Dialer(livenessTimeout)
+	for range confirmations {
+		c, err := d.Dial("tcp", addr)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return standby.Ended
+		case err != nil:
+			return standby.Unreachable
+		}
+		_ = c.Close()
+		time.Sleep(confirmPause)
+	}
+	return standby.Alive
 }
--- a/internal/app/gateway/standby_test.go
+++ b/internal/app/gateway/standby_test.go
@@ -20,6 +20,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/feature"
 	"github.com/cassiapass/cassiapass/internal/core/release"
+	"github.com/cassiapass/cassiapass/internal/core/standby"
 )
 
 // minQueued is longer than an endpoint may be silent.
@@ -628,3 +629,23 @@
 		is.Equal(min(1, w.bs[0].arrivals())+min(1, w.bs[1].arrivals()) == 1, healthy)
 	}
 }
+
+// Guards against two engines that work on one run: an engine with too many connections closes new ones,
+// which looks like its end, and works on.
+func TestEngineThatClosesNewConnectionsLives(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	is.Equal(confirmSource(l.Addr().String()), standby.Alive)
+	is.NoErr(l.Close())
+	is.Equal(confirmSource(l.Addr().String()), standby.Ended)
+}
