pace: long answers go where they are expected to end before their caller leaves

The choice looked at the first event and the pauses only. Change: an endpoint that is not expected to end the answer in the time left counts like one that misses the objective: used if no other is left.

--- a/internal/app/gateway/pace.go
+++ b/internal/app/gateway/pace.go
@@ -137,7 +137,7 @@
 		return nil
 	}
 	l := &requestLoad{kind: paceKind(x.service, x.info.Want.Model), eventTokens: x.g.eventTokens(x.service)}
-	l.objective = fleet.Objective{First: x.route.Objective - time.Since(x.arrived), Gap: x.route.MaxGap}
+	l.objective = fleet.Objective{First: x.route.Objective - time.Since(x.arrived), Gap: x.route.MaxGap, Limit: time.Until(x.deadline)}
 	if l.objective.First < 0 || x.headSent {
 		l.objective.First = 0 // missed already, or met
 	}
@@ -167,7 +167,7 @@
 		e := eps[at]
 		slow = slow || e.pace >= slowFactor
 		f := e.factor(now)
-		cands[i].Expect = fleet.Expectation{Factor: f, Extra: e.extraWork, First: times.First(l.work, e.reading, f), Gap: time.Duration(f * float64(times.Event))}
+		cands[i].Expect = fleet.Expectation{Factor: f, Extra: e.extraWork, First: times.First(l.work, e.reading, f), Gap: time.Duration(f * float64(times.Event)), Finish: times.Finish(l.work, e.reading, pace.Factor(e.pace).Or())}
 	}
 	i := fleet.ChooseByFinish(cands, l.objective, rand)
 	if slow && eps[preferred[i]].pace < slowFactor {
--- a/internal/core/fleet/finish.go
+++ b/internal/core/fleet/finish.go
@@ -6,6 +6,7 @@
 type Objective struct {
 	First time.Duration // until the first event
 	Gap   time.Duration // between events
+	Limit time.Duration // until the end of the answer: the caller leaves
 }
 
 // Expectation is what is expected of a candidate where endpoints differ in speed. The zero value is
@@ -15,6 +16,7 @@
 	Extra  float64       // by how many usual requests those of this entry there ask for more than their number says
 	First  time.Duration // expected until the first event; 0 if not known
 	Gap    time.Duration // expected from one event to the next; 0 if not known
+	Finish time.Duration // expected until the end of the answer; 0 if not known
 }
 
 func (x Expectation) factor() float64 {
@@ -51,13 +53,13 @@
 	return s + failingWeight*c.Failing
 }
 
-// meets reports whether the candidate is expected to begin its answer within an objective.
+// meets reports whether the candidate is expected to begin and end its answer within an objective.
 func (c Candidate) meets(objective Objective) bool {
 	if c.Failing >= maxFailing || float64(c.Running) >= crowdedShare*float64(c.Slots) {
 		return false
 	}
 	within := func(d, limit time.Duration) bool { return limit <= 0 || d <= limit }
-	return within(c.Expect.First, objective.First) && within(c.Expect.Gap, objective.Gap)
+	return within(c.Expect.First, objective.First) && within(c.Expect.Gap, objective.Gap) && within(c.Expect.Finish, objective.Limit)
 }
 
 // ChooseByFinish returns the index of the candidate to use, or -1 if there is none, where endpoints
