--- a/internal/app/gateway/pace.go
+++ b/internal/app/gateway/pace.go
@@ -226,8 +226,8 @@
 	now := time.Now()
 	if l.answering != e {
 		x.flushSegment()
-		if l.answering == nil && e == l.chosen {
-			x.g.dir.recordFirst(l, now.Sub(x.sentAt))
+		if l.answering == nil {
+			x.g.dir.recordFirst(l, now.Sub(x.sentAt), x.goOnFrom == "" && e == l.chosen)
 		}
 		l.answering, l.segmentAt, l.segmentEvents = e, now, 0
 		return
@@ -267,11 +267,15 @@
 	d.paces.book.Record(l.kind, string(e.ID), took/time.Duration(events), weight)
 }
 
-// recordFirst records how long a first event took.
-func (d *directory) recordFirst(l *requestLoad, took time.Duration) {
+// recordFirst records how long a first event took. whole is not set for one of a run that goes on: it
+// does not read its prompt again.
+func (d *directory) recordFirst(l *requestLoad, took time.Duration, whole bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l.endReading()
+	if !whole {
+		return
+	}
 	if t := d.paces.timesOf(l.kind); t != nil {
 		t.RecordFirst(l.work, took, l.factor)
 	}
@@ -284,7 +288,7 @@
 		return
 	}
 	took := time.Since(x.sentAt)
-	x.g.dir.recordFirst(l, took)
+	x.g.dir.recordFirst(l, took, true)
 	x.g.dir.mu.Lock()
 	defer x.g.dir.mu.Unlock()
 	x.g.dir.paces.book.Record(l.kind, string(e.ID), took, answerWeight)
