Take the store's only slot for costly losses alone

Cause: where the store serves one load at a time, a load that requests call for meanwhile ends up to one load later. Preparing nothing there was ruled out: it is where a copy is the hardest to get.

--- a/internal/core/fleet/foresight_test.go
+++ b/internal/core/fleet/foresight_test.go
@@ -376,3 +376,39 @@
 		is.Equal(p.redundantLoads, 0)
 	}
 }
+
+// TestPreparationsNeverOverfillAnEngine guards against preparations beside orders that get no answer and
+// are carried out seconds later.
+func TestPreparationsNeverOverfillAnEngine(t *testing.T) {
+	is := is.New(t)
+	prepared := 0
+	for seed := range uint64(20) {
+		p := lossFleet(seed, 6, 16, 4, true)
+		p.lossRate = 0.3
+		for range 15 { // demand keeps moving
+			clear(p.rates)
+			for range 4 {
+				p.rates[fmt.Sprintf("m%d", p.r.IntN(16))] = 30 * p.r.Float64()
+			}
+			p.play(2 * time.Second)
+			is.Equal(p.crashed(), "") // seed
+		}
+		prepared += len(p.prepared)
+	}
+	is.True(prepared > 0)
+}
+
+// TestOnlySlotOfTheStore guards against preparations of little worth before a store that serves one
+// load at a time.
+func TestOnlySlotOfTheStore(t *testing.T) {
+	is := is.New(t)
+	p := lossFleet(1, 12, 12, 12, true)
+	p.play(time.Second)
+	p.p.store.limit = 1
+	is.True(!p.p.storeIdle(p.now, lastSlotCost-1))
+	is.True(p.p.storeIdle(p.now, lastSlotCost))
+	p.p.store.limit = 2
+	is.True(p.p.storeIdle(p.now, minForeseenCost))
+	p.p.store.inFlight = 1
+	is.True(!p.p.storeIdle(p.now, lastSlotCost))
+}
--- a/internal/core/fleet/preparations.go
+++ b/internal/core/fleet/preparations.go
@@ -12,6 +12,10 @@
 	// need the store and the engines.
 	preparedStoreInterval = 25 * time.Second
 	preparedStoreBurst    = 4
+	// lastSlotCost is the foreseen cost from which a preparation may take the only slot of the store
+	// that is free: a load that requests call for meanwhile would end up to one load later, and keeps
+	// some two requests a second waiting.
+	lastSlotCost = 20.0
 	// preparedPause is how long a model gets no further preparation after one. Reports show its
 	// effect, and the demand whether it was right.
 	preparedPause = 10 * time.Second
@@ -78,7 +82,7 @@
 	}
 	// Copies that were lost a moment ago may return with their engine.
 	returning := now.Sub(p.copyLostAt[s.model]) < returnWindow
-	if s.fromStore && !returning && p.storeIdle(now) && r.mayUseStore(now) && r.rested(now, preparation{s.model, true}) {
+	if s.fromStore && !returning && p.storeIdle(now, s.cost) && r.mayUseStore(now) && r.rested(now, preparation{s.model, true}) {
 		return p.preparedCopy(now, s)
 	}
 	return nil
@@ -89,10 +93,11 @@
 	return now.Sub(r.lastAt[of]) >= preparedPause
 }
 
-// storeIdle reports whether nothing loads from the store or waits for it. An engine whose state is
-// unsettled may load for a former leader.
-func (p *Planner) storeIdle(now time.Time) bool {
-	if p.store.inFlight > 0 || len(p.survey.storeQueue) > 0 || p.store.freeSlots(false) <= 0 {
+// storeIdle reports whether nothing loads from the store or waits for it, and it has a slot for a
+// preparation of a foreseen cost. An engine whose state is unsettled may load for a former leader.
+func (p *Planner) storeIdle(now time.Time, cost float64) bool {
+	free := p.store.freeSlots(false)
+	if p.store.inFlight > 0 || len(p.survey.storeQueue) > 0 || free <= 0 || free == 1 && cost < lastSlotCost {
 		return false
 	}
 	for _, e := range p.engines {
