--- a/internal/core/fleet/results.go
+++ b/internal/core/fleet/results.go
@@ -157,7 +157,7 @@
 	switch other, later := e.restarted(r); {
 	case later:
 		ep := e.ep
-		ep.ID, ep.StartedAt, ep.Held, ep.Copies, ep.Leaving = IncarnationID(ep.Name(), r.StartedAt), r.StartedAt, nil, r.Copies, r.Leaving
+		ep.ID, ep.StartedAt, ep.Held, ep.Copies, ep.Leaving, ep.RemovedIn = IncarnationID(ep.Name(), r.StartedAt), r.StartedAt, nil, r.Copies, r.Leaving, r.RemovedIn
 		p.replace(now, e, ep)
 		return
 	case other:
