--- a/internal/core/fleet/types.go
+++ b/internal/core/fleet/types.go
@@ -15,20 +15,21 @@
 
 // Endpoint is one endpoint as the platform lists it.
 type Endpoint struct {
-	ID        EndpointID   `json:"id"`
-	Server    string       `json:"server,omitempty"` // the platform's name for it; the ID if empty
-	StartedAt int64        `json:"born,omitempty"`   // when its process started, Unix milliseconds; 0 if unknown
-	Service   string       `json:"service"`
-	Addr      string       `json:"addr"` // IP number and port
-	Zone      ident.Zone   `json:"zone"`
-	Slots     int          `json:"slots"`
-	Release   release.Name `json:"release,omitempty"` // of its software, fixed for an incarnation
-	Leaving   bool         `json:"leaving,omitempty"` // accepts no new requests
+	ID         EndpointID   `json:"id"`
+	Server     string       `json:"server,omitempty"` // the platform's name for it; the ID if empty
+	StartedAt  int64        `json:"born,omitempty"`   // when its process started, Unix milliseconds; 0 if unknown
+	Service    string       `json:"service"`
+	Addr       string       `json:"addr"` // IP number and port
+	Zone       ident.Zone   `json:"zone"`
+	Slots      int          `json:"slots"`
+	Release    release.Name `json:"release,omitempty"` // of its software, fixed for an incarnation
+	Leaving    bool         `json:"leaving,omitempty"` // accepts no new requests
+	Held       []Held       `json:"held,omitempty"`
+	Copies     Copies       `json:"copies,omitzero"`
+	Unreported bool         `json:"-"` // Held and Copies are unknown, or of another incarnation
+
 	// RemovedIn is how long it was to stay when its removal was announced; 0 if it was not.
-	RemovedIn  time.Duration `json:"removed_in,omitempty"`
-	Held       []Held        `json:"held,omitempty"`
-	Copies     Copies        `json:"copies,omitzero"`
-	Unreported bool          `json:"-"` // Held and Copies are unknown, or of another incarnation
+	RemovedIn time.Duration `json:"removed_in,omitempty"`
 }
 
 // Listing is the result of reading the platform's list of endpoints.
