--- a/internal/app/gateway/departures.go
+++ b/internal/app/gateway/departures.go
@@ -128,7 +128,7 @@
 		return p
 	}
 	copied := p
-	b := x.breakAt(e)
+	b := x.breakAt(e, events)
 	b.Silent, b.CanMove, b.AnotherAllowed = true, true, true // the source ends while the run goes on
 	x.decide(ctx, e, target, b, &p)
 	if p.action != standby.GoOnAtTarget || p.handle != copied.handle {
--- a/internal/app/gateway/silence.go
+++ b/internal/app/gateway/silence.go
@@ -196,7 +196,7 @@
 // planRescue decides how the run at a silent endpoint goes on. It runs beside the attempt, and reads
 // only what does not change during one.
 func (x *exchange) planRescue(ctx context.Context, e *endpoint, events int, silent time.Duration) goOnPlan {
-	b := x.breakAt(e)
+	b := x.breakAt(e, events)
 	b.Silent = true
 	p := goOnPlan{events: events, silent: silent}
 	if x.goneOn >= maxGoOns || !x.mayRetry() {
--- a/internal/app/gateway/standby.go
+++ b/internal/app/gateway/standby.go
@@ -239,7 +239,7 @@
 		return p
 	}
 	p := goOnPlan{source: x.sourceState(e), events: x.eventsSent}
-	b := x.breakAt(e)
+	b := x.breakAt(e, x.eventsSent)
 	b.Source = p.source
 	target, holds := x.moveTarget(e)
 	b.CanMove = target != nil
@@ -248,9 +248,9 @@
 	return p
 }
 
-// breakAt returns what is known of a break without asking the source.
-func (x *exchange) breakAt(e *endpoint) standby.Break {
-	return standby.Break{Copy: x.copyUsable(e), MayRepeat: x.route.MayRepeat(), AnotherAllowed: x.anotherAllowed(e), Left: time.Until(x.deadline)}
+// breakAt returns what is known of a break after a number of events without asking the source.
+func (x *exchange) breakAt(e *endpoint, events int) standby.Break {
+	return standby.Break{Copy: x.copyUsable(e, events), MayRepeat: x.route.MayRepeat(), AnotherAllowed: x.anotherAllowed(e), Left: time.Until(x.deadline)}
 }
 
 // anotherAllowed reports whether the run may go on beside a source that lives on. One that leaves ends
@@ -283,8 +283,8 @@
 }
 
 // copyUsable reports whether the copy of the run at e may be there and its holder takes requests.
-func (x *exchange) copyUsable(e *endpoint) bool {
-	return x.copy != nil && x.copy.source == e && standby.MayHaveArrived(time.Since(x.sentAt), x.eventsSent) && !x.g.dir.isLeaving(x.copy.holder)
+func (x *exchange) copyUsable(e *endpoint, events int) bool {
+	return x.copy != nil && x.copy.source == e && standby.MayHaveArrived(time.Since(x.sentAt), events) && !x.g.dir.isLeaving(x.copy.holder)
 }
 
 // attemptGoOn sends the request to where its run goes on.
