allowances: a repeat goes first only where it certainly is one and certainly in time

Cause: since callers may give up a fifth earlier than their route's limit, a request of 12 s with 9.0 to 9.6 s left and an objective of 0.5 s counted as a repeat that can still be in time, before all fresh ones. Callers told to come back after 3 s are just there: late repeats took the room of fresh alerts. Change: a repeat goes first if its least age shows that it is one and its greatest age is within the objective.

--- a/internal/core/allowance/ranks.go
+++ b/internal/core/allowance/ranks.go
@@ -29,7 +29,7 @@
 // since the same units answer more of them.
 type Rank struct {
 	Class  urgency.Class `json:"k"`
-	Repeat bool          `json:"r,omitempty"` // the caller has tried before, and can still be answered in time
+	Repeat bool          `json:"r,omitempty"` // the caller has certainly tried before, and can certainly still be answered in time
 	Size   uint8         `json:"s,omitempty"` // the binary logarithm of the cost
 }
 
@@ -40,7 +40,7 @@
 // rankOf returns the rank of a request.
 func rankOf(l urgency.Level, t urgency.Timing, cost float64) Rank {
 	u := urgency.Of(l, t)
-	return Rank{Class: u.Class(), Repeat: !u.Late && t.Age() >= repeatAge, Size: uint8(max(math.Ilogb(max(cost, 1)), 0))}
+	return Rank{Class: u.Class(), Repeat: t.Age() >= repeatAge && t.LongestAge() < t.Objective, Size: uint8(max(math.Ilogb(max(cost, 1)), 0))}
 }
 
 func (r Rank) compare(o Rank) int {
--- a/internal/core/urgency/urgency.go
+++ b/internal/core/urgency/urgency.go
@@ -84,6 +84,14 @@
 	return max(t.Limit-time.Duration(limitSpread*float64(t.Limit))-t.Left, 0)
 }
 
+// LongestAge returns how long ago the caller tried first, at most: if it had the route's whole limit.
+func (t Timing) LongestAge() time.Duration {
+	if t.Left <= 0 {
+		return 0
+	}
+	return max(t.Limit-t.Left, 0)
+}
+
 // Late reports whether the objective can no longer be met.
 func (t Timing) Late() bool { return t.Objective > 0 && t.Due() < minAnswerTime }
 
