--- a/internal/app/gateway/standby.go
+++ b/internal/app/gateway/standby.go
@@ -61,7 +61,7 @@
 // "" if there is none. A run that goes on keeps the copy that it has until it is used.
 func (x *exchange) protect(e *endpoint) string {
 	en := x.engine()
-	if !x.standby || en == nil || !en.Backups || x.goOnFrom != "" || x.route.MayRepeat() {
+	if !x.standby || en == nil || !en.Backups || !x.g.enabled(feature.Backups) || x.goOnFrom != "" || x.route.MayRepeat() {
 		return ""
 	}
 	x.unprotect()
--- a/internal/core/feature/feature.go
+++ b/internal/core/feature/feature.go
@@ -15,12 +15,13 @@
 const (
 	Urgency   Name = "urgency"   // urgent requests come first where something is scarce
 	Pace      Name = "pace"      // endpoints are chosen by expected finish
-	Standby   Name = "standby"   // streams go on at another endpoint when theirs ends
+	Standby   Name = "standby"   // silent streams are taken from their endpoint and go on
+	Backups   Name = "backups"   // with Standby: the memory of runs is copied while they run
 	Foresight Name = "foresight" // replicas and copies are prepared for losses
 )
 
 // Names returns the optional parts in a fixed order.
-func Names() []Name { return []Name{Urgency, Pace, Standby, Foresight} }
+func Names() []Name { return []Name{Urgency, Pace, Standby, Backups, Foresight} }
 
 // Mode is an operator's setting for a part.
 type Mode string
@@ -71,7 +72,7 @@
 // Enabled reports whether a part is in use in a deployment. A part that endpoints cannot carry out
 // is not, whatever the setting.
 func (s Settings) Enabled(n Name, d Deployment) bool {
-	if n == Standby && !d.Backups && !d.Moves {
+	if n == Standby && !d.Backups && !d.Moves || n == Backups && !d.Backups {
 		return false
 	}
 	switch s[n] {
@@ -83,10 +84,8 @@
 	switch n {
 	case Urgency:
 		return d.Pressure
-	case Pace:
+	case Pace, Standby:
 		return d.SharedHosts
-	case Standby, Foresight:
-		return d.Pressure || d.SharedHosts
 	}
-	return false
+	return false // Backups and Foresight take engine time and loads from all requests: for operators to decide
 }
