--- a/internal/core/fleet/foresight.go
+++ b/internal/core/fleet/foresight.go
@@ -82,6 +82,15 @@
 	}
 }
 
+// requestWeight returns how much a request for a model counts by its urgency when losses are compared.
+func (p *Planner) requestWeight(now time.Time, name string) float64 {
+	rate := p.rate(now, name)
+	if rate <= 0 {
+		return 1
+	}
+	return p.weightedRate(now, name) / rate
+}
+
 // prepare examines what each loss would cost and issues at most one preparation. It comes last
 // in a plan: what waits goes first.
 func (p *Planner) prepare(now time.Time, w *Work) {
@@ -160,7 +169,7 @@
 		}
 	}
 	need := rate / p.ratePerReplica(name)
-	weight := p.weight(now, name)
+	weight := p.requestWeight(now, name)
 	worst := shortfall{model: name}
 	r.each(func(l loss, taken room) {
 		left := room{r.all.held - taken.held, r.all.copies - taken.copies}
