disklog: the file system behind a port

No change of logic. Tests of what a loss of power leaves need a file system that can lose what was not synced; the operating system's can only be asked to keep everything.

--- a/internal/adapter/disklog/contacts.go
+++ b/internal/adapter/disklog/contacts.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
-	"os"
-	"path/filepath"
+	"errors"
+	"io/fs"
 
 	"github.com/samber/oops"
 )
@@ -12,11 +12,11 @@
 // reached. Its loss does no harm.
 const contactsName = "contacts.json"
 
-// PeerAddrs returns the addresses of other hosts that SavePeerAddrs wrote to a data
-// folder, none if it never did.
-func PeerAddrs(dir string) ([]string, error) {
-	b, err := os.ReadFile(filepath.Join(dir, contactsName))
-	if os.IsNotExist(err) {
+// PeerAddrs returns the addresses of other hosts that SavePeerAddrs wrote, none if it
+// never did.
+func (f Folder) PeerAddrs() ([]string, error) {
+	b, err := f.fs().ReadFile(f.path(contactsName))
+	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
@@ -29,11 +29,11 @@
 	return addrs, nil
 }
 
-// SavePeerAddrs writes the addresses of other hosts to a data folder.
-func SavePeerAddrs(dir string, addrs []string) error {
+// SavePeerAddrs writes the addresses of other hosts.
+func (f Folder) SavePeerAddrs(addrs []string) error {
 	b, err := json.Marshal(addrs)
 	if err != nil {
 		return oops.Wrapf(err, "encode contacts")
 	}
-	return replace(filepath.Join(dir, contactsName), b)
+	return f.replace(f.path(contactsName), b)
 }
--- a/internal/adapter/disklog/disklog.go
+++ b/internal/adapter/disklog/disklog.go
@@ -3,16 +3,15 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 
-	"github.com/gofrs/flock"
 	"github.com/samber/oops"
 
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
+	"github.com/cassiapass/cassiapass/internal/port"
 )
 
 const (
@@ -21,8 +20,6 @@
 	segmentExt   = ".log"
 	snapshotExt  = ".snap"
 	tempExt      = ".tmp"
-	dirMode      = 0o750
-	fileMode     = 0o640
 )
 
 // ErrFailed means that an earlier write or sync failed and the log accepts no more
@@ -33,19 +30,27 @@
 // The folder must not be used again under its identity.
 var ErrDamaged = errors.New("the data folder is damaged")
 
-// file is the part of os.File that the log uses; tests substitute one that fails.
-type file interface {
-	Write(p []byte) (int, error)
-	Sync() error
-	Close() error
+// Folder is a data folder.
+type Folder struct {
+	Dir string
+	FS  port.FS // nil for the operating system's
 }
 
+func (f Folder) fs() port.FS {
+	if f.FS == nil {
+		return osFS{}
+	}
+	return f.FS
+}
+
+func (f Folder) path(name string) string { return filepath.Join(f.Dir, name) }
+
 // Log is an open data folder. It implements port.Disk.
 type Log struct {
-	dir         string
-	lock        *flock.Flock
-	create      func(path string) (file, error)
-	current     file
+	folder      Folder
+	fs          port.FS
+	unlock      func() error
+	current     port.File
 	size        int64
 	last        uint64            // last index written
 	maxIndex    map[string]uint64 // last index that a segment may hold, by segment path
@@ -67,21 +72,22 @@
 
 // Open locks and reads the data folder, creating it if it does not exist.
 // newIdentity is called if the folder has no identity yet.
-func Open(dir string, newIdentity func() Identity) (*Log, *Restored, error) {
-	if err := os.MkdirAll(dir, dirMode); err != nil {
+func (f Folder) Open(newIdentity func() Identity) (*Log, *Restored, error) {
+	l := &Log{folder: f, fs: f.fs(), maxIndex: map[string]uint64{}}
+	if err := l.fs.MkdirAll(f.Dir); err != nil {
 		return nil, nil, oops.Wrapf(err, "create data folder")
 	}
-	l := &Log{dir: dir, lock: flock.New(filepath.Join(dir, lockName)), create: createFile, maxIndex: map[string]uint64{}}
-	locked, err := l.lock.TryLock()
+	unlock, locked, err := l.fs.Lock(f.path(lockName))
 	if err != nil {
-		return nil, nil, oops.Wrapf(err, "lock data folder %s", dir)
+		return nil, nil, oops.Wrapf(err, "lock data folder %s", f.Dir)
 	}
 	if !locked {
-		return nil, nil, oops.Errorf("data folder %s is in use by another process", dir)
+		return nil, nil, oops.Errorf("data folder %s is in use by another process", f.Dir)
 	}
+	l.unlock = unlock
 	res, err := l.recover(newIdentity)
 	if err != nil {
-		_ = l.lock.Unlock()
+		_ = unlock()
 		return nil, nil, err
 	}
 	l.hardState = res.HardState
@@ -89,16 +95,12 @@
 	// Each start begins a new segment, so that nothing is ever appended after a
 	// frame that a crash may have torn.
 	if err := l.rotate(); err != nil {
-		_ = l.lock.Unlock()
+		_ = unlock()
 		return nil, nil, err
 	}
 	return l, res, nil
 }
 
-func createFile(path string) (file, error) {
-	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
-}
-
 // Save implements port.Disk.
 func (l *Log) Save(entries []consensus.Entry, hs *consensus.HardState) error {
 	if l.failed {
@@ -151,8 +153,8 @@
 		}
 	}
 	l.seq++
-	l.segmentPath = filepath.Join(l.dir, fmt.Sprintf("%016x%s", l.seq, segmentExt))
-	f, err := l.create(l.segmentPath)
+	l.segmentPath = filepath.Join(l.folder.Dir, fmt.Sprintf("%016x%s", l.seq, segmentExt))
+	f, err := l.fs.Create(l.segmentPath)
 	if err != nil {
 		l.failed = true
 		return oops.Wrapf(err, "create segment")
@@ -162,7 +164,7 @@
 	if err := l.write(appendFrame(nil, frameHardState, encodeHardState(l.hardState))); err != nil {
 		return err
 	}
-	return syncDir(l.dir)
+	return l.folder.sync()
 }
 
 // SaveSnapshot implements port.Disk. The snapshot is written to a temporary file,
@@ -183,7 +185,7 @@
 }
 
 func (l *Log) removeObsolete(index uint64) error {
-	names, err := l.list(segmentExt)
+	names, err := l.folder.list(segmentExt)
 	if err != nil {
 		return err
 	}
@@ -191,21 +193,21 @@
 		if name == l.segmentPath || l.maxIndex[name] > index {
 			break // later segments may depend on the truncation of the log by this one
 		}
-		if err := os.Remove(name); err != nil {
+		if err := l.fs.Remove(name); err != nil {
 			return oops.Wrapf(err, "remove old segment")
 		}
 		delete(l.maxIndex, name)
 	}
-	snaps, err := l.list(snapshotExt)
+	snaps, err := l.folder.list(snapshotExt)
 	if err != nil {
 		return err
 	}
 	for _, name := range snaps[:max(0, len(snaps)-keepSnapshots)] {
-		if err := os.Remove(name); err != nil {
+		if err := l.fs.Remove(name); err != nil {
 			return oops.Wrapf(err, "remove old snapshot")
 		}
 	}
-	return syncDir(l.dir)
+	return l.folder.sync()
 }
 
 const keepSnapshots = 1
@@ -214,19 +216,19 @@
 // acknowledged has been synced.
 func (l *Log) Close() error {
 	err := l.current.Close()
-	return errors.Join(err, l.lock.Unlock())
+	return errors.Join(err, l.unlock())
 }
 
 // list returns the paths with the given extension, oldest first.
-func (l *Log) list(ext string) ([]string, error) {
-	dirEntries, err := os.ReadDir(l.dir)
+func (f Folder) list(ext string) ([]string, error) {
+	names, err := f.fs().List(f.Dir)
 	if err != nil {
 		return nil, oops.Wrapf(err, "list data folder")
 	}
 	var out []string
-	for _, de := range dirEntries {
-		if strings.HasSuffix(de.Name(), ext) {
-			out = append(out, filepath.Join(l.dir, de.Name()))
+	for _, name := range names {
+		if strings.HasSuffix(name, ext) {
+			out = append(out, f.path(name))
 		}
 	}
 	slices.Sort(out)
@@ -244,13 +246,8 @@
 	return n, nil
 }
 
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return oops.Wrapf(err, "open data folder")
-	}
-	defer d.Close()
-	if err := d.Sync(); err != nil {
+func (f Folder) sync() error {
+	if err := f.fs().SyncDir(f.Dir); err != nil {
 		return oops.Wrapf(err, "sync data folder")
 	}
 	return nil
--- a/internal/adapter/disklog/disklog_test.go
+++ b/internal/adapter/disklog/disklog_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
+	"github.com/cassiapass/cassiapass/internal/port"
 )
 
 func identity() Identity { return Identity{Node: 7, Group: "main"} }
@@ -25,7 +26,7 @@
 
 func open(t *testing.T, dir string) (*Log, *Restored) {
 	t.Helper()
-	l, res, err := Open(dir, identity)
+	l, res, err := Folder{Dir: dir}.Open(identity)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,7 +51,7 @@
 
 func lastSegment(t *testing.T, l *Log) string {
 	t.Helper()
-	segs, err := l.list(segmentExt)
+	segs, err := l.folder.list(segmentExt)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,7 +85,7 @@
 	dir := t.TempDir()
 	l, _ := open(t, dir)
 	defer l.Close()
-	_, _, err := Open(dir, identity)
+	_, _, err := Folder{Dir: dir}.Open(identity)
 	is.True(err != nil)
 	is.True(strings.Contains(err.Error(), "in use"))
 }
@@ -108,7 +109,7 @@
 
 func segmentsAfter(t *testing.T, l *Log, than string) []string {
 	t.Helper()
-	segs, err := l.list(segmentExt)
+	segs, err := l.folder.list(segmentExt)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -129,15 +130,15 @@
 	path, b := threeEntries(t, dir)
 	b[len(b)/2] ^= 0xff
 	is.NoErr(os.WriteFile(path, b, 0o600))
-	_, _, err := Open(dir, identity)
+	_, _, err := Folder{Dir: dir}.Open(identity)
 	is.True(err != nil)
 	for _, part := range []string{filepath.Base(path), "offset", "join as a new one"} {
 		is.True(strings.Contains(err.Error(), part))
 	}
 	is.True(errors.Is(err, ErrDamaged))
 
-	is.NoErr(Discard(dir)) // the host may join again, as a new member
-	l, res, err := Open(dir, func() Identity { return Identity{Node: 8, Group: "main"} })
+	is.NoErr(Folder{Dir: dir}.Discard()) // the host may join again, as a new member
+	l, res, err := Folder{Dir: dir}.Open(func() Identity { return Identity{Node: 8, Group: "main"} })
 	is.NoErr(err)
 	defer l.Close()
 	is.Equal(res.Identity.Node, consensus.NodeID(8))
@@ -146,7 +147,7 @@
 
 // brokenFile fails its syncs once syncsLeft of them have succeeded.
 type brokenFile struct {
-	file
+	port.File
 	syncsLeft *int
 }
 
@@ -154,7 +155,7 @@
 	if *b.syncsLeft--; *b.syncsLeft < 0 {
 		return errors.New("input/output error")
 	}
-	return b.file.Sync()
+	return b.File.Sync()
 }
 
 // After a failed sync the log must accept no more writes. The kernel marks the pages
@@ -175,7 +176,7 @@
 
 func BenchmarkRecovery100000(b *testing.B) {
 	dir := b.TempDir()
-	l, _, err := Open(dir, identity)
+	l, _, err := Folder{Dir: dir}.Open(identity)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -188,7 +189,7 @@
 		b.Fatal(err)
 	}
 	for b.Loop() {
-		l, res, err := Open(dir, identity)
+		l, res, err := Folder{Dir: dir}.Open(identity)
 		if err != nil || len(res.Entries) != 100000 {
 			b.Fatal(err)
 		}
@@ -216,7 +217,7 @@
 }
 
 func BenchmarkSave(b *testing.B) {
-	l, _, err := Open(b.TempDir(), identity)
+	l, _, err := Folder{Dir: b.TempDir()}.Open(identity)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/adapter/disklog/recover.go
+++ b/internal/adapter/disklog/recover.go
@@ -4,13 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
+	"io/fs"
 
 	"github.com/samber/oops"
 
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/port"
 )
 
 // Identity names the member and group that a data folder belongs to. It is written
@@ -24,9 +24,9 @@
 const identityName = "identity.json"
 
 func (l *Log) identity(makeIdentity func() Identity) (Identity, error) {
-	path := filepath.Join(l.dir, identityName)
-	b, err := os.ReadFile(path)
-	if os.IsNotExist(err) {
+	path := l.folder.path(identityName)
+	b, err := l.fs.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
 		return l.newIdentity(path, makeIdentity())
 	}
 	if err != nil {
@@ -42,7 +42,7 @@
 // newIdentity writes the identity of an empty folder. A folder with log segments but
 // without an identity is damaged.
 func (l *Log) newIdentity(path string, id Identity) (Identity, error) {
-	segs, err := l.list(segmentExt)
+	segs, err := l.folder.list(segmentExt)
 	if err != nil {
 		return Identity{}, err
 	}
@@ -53,30 +53,33 @@
 	if err != nil {
 		return Identity{}, oops.Wrapf(err, "encode identity")
 	}
-	return id, replace(path, b)
+	return id, l.folder.replace(path, b)
 }
 
 // replace replaces a file atomically, by write, sync, rename and directory sync: a
 // crash leaves either the old or the new content.
-func replace(path string, b []byte) error {
+func (f Folder) replace(path string, b []byte) error {
 	tmp := path + tempExt
-	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err := f.fs().Remove(tmp); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return oops.Wrapf(err, "remove %s", tmp)
+	}
+	w, err := f.fs().Create(tmp)
 	if err != nil {
 		return oops.Wrapf(err, "create %s", tmp)
 	}
-	if _, err = f.Write(b); err == nil {
-		err = f.Sync()
+	if _, err = w.Write(b); err == nil {
+		err = w.Sync()
 	}
-	if cerr := f.Close(); err == nil {
+	if cerr := w.Close(); err == nil {
 		err = cerr
 	}
 	if err == nil {
-		err = os.Rename(tmp, path)
+		err = f.fs().Rename(tmp, path)
 	}
 	if err != nil {
 		return oops.Wrapf(err, "write %s", path)
 	}
-	return syncDir(filepath.Dir(path))
+	return f.sync()
 }
 
 func (l *Log) writeSnapshot(s consensus.Snapshot) error {
@@ -84,8 +87,8 @@
 	if err != nil {
 		return oops.Wrapf(err, "encode snapshot")
 	}
-	path := filepath.Join(l.dir, fmt.Sprintf("%016x%s", s.Index, snapshotExt))
-	return replace(path, appendChecksum(b))
+	path := l.folder.path(fmt.Sprintf("%016x%s", s.Index, snapshotExt))
+	return l.folder.replace(path, appendChecksum(b))
 }
 
 func appendChecksum(b []byte) []byte {
@@ -93,9 +96,9 @@
 	return append(b, byte(sum>>24), byte(sum>>16), byte(sum>>8), byte(sum))
 }
 
-func readSnapshot(path string) (consensus.Snapshot, error) {
+func (f Folder) readSnapshot(path string) (consensus.Snapshot, error) {
 	var s consensus.Snapshot
-	b, err := os.ReadFile(path)
+	b, err := f.fs().ReadFile(path)
 	if err != nil {
 		return s, oops.Wrapf(err, "read snapshot")
 	}
@@ -117,17 +120,17 @@
 // Discard empties a data folder, so that the next Open creates a new identity.
 // Only a host that rejoins its group as a new member may call it: the entries that
 // the folder held no longer count towards a quorum.
-func Discard(dir string) error {
-	dirEntries, err := os.ReadDir(dir)
+func (f Folder) Discard() error {
+	names, err := f.fs().List(f.Dir)
 	if err != nil {
 		return oops.Wrapf(err, "list data folder")
 	}
-	for _, de := range dirEntries {
-		if err := os.Remove(filepath.Join(dir, de.Name())); err != nil {
+	for _, name := range names {
+		if err := f.fs().Remove(f.path(name)); err != nil {
 			return oops.Wrapf(err, "empty data folder")
 		}
 	}
-	return syncDir(dir)
+	return f.sync()
 }
 
 // recover reads the identity, the newest snapshot and all segments of the folder.
@@ -140,11 +143,11 @@
 	if err := l.recoverSnapshot(res); err != nil {
 		return nil, err
 	}
-	segs, err := l.list(segmentExt)
+	segs, err := l.folder.list(segmentExt)
 	if err != nil {
 		return nil, err
 	}
-	r := &reader{snap: res.Snapshot}
+	r := &reader{fs: l.fs, snap: res.Snapshot}
 	for i, path := range segs {
 		n, err := fileNumber(path)
 		if err != nil {
@@ -169,16 +172,17 @@
 }
 
 func (l *Log) recoverSnapshot(res *Restored) error {
-	snaps, err := l.list(snapshotExt)
+	snaps, err := l.folder.list(snapshotExt)
 	if err != nil || len(snaps) == 0 {
 		return err
 	}
-	res.Snapshot, err = readSnapshot(snaps[len(snaps)-1])
+	res.Snapshot, err = l.folder.readSnapshot(snaps[len(snaps)-1])
 	return err
 }
 
 // reader accumulates the hard state and entries of all segments.
 type reader struct {
+	fs        port.FS
 	snap      consensus.Snapshot
 	hardState consensus.HardState
 	entries   []consensus.Entry
@@ -194,7 +198,7 @@
 // readSegment reads one segment and truncates a torn end. It returns the number of
 // bytes truncated.
 func (r *reader) readSegment(path string) (torn int, err error) {
-	b, err := os.ReadFile(path)
+	b, err := r.fs.ReadFile(path)
 	if err != nil {
 		return 0, oops.Wrapf(err, "read segment")
 	}
@@ -217,7 +221,7 @@
 		return 0, oops.With("file", path, "offset", off).Wrapf(ErrDamaged,
 			"%s is damaged at offset %d, before data that was acknowledged: remove the whole data folder, remove this member from the group and let the host join as a new one", path, off)
 	}
-	if err := os.Truncate(path, int64(off)); err != nil {
+	if err := r.fs.Truncate(path, int64(off)); err != nil {
 		return 0, oops.Wrapf(err, "cut torn end")
 	}
 	return len(b) - off, nil
--- a/internal/app/control/contacts.go
+++ b/internal/app/control/contacts.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cassiapass/cassiapass/internal/adapter/disklog"
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
 	"github.com/cassiapass/cassiapass/internal/core/contact"
 	"github.com/cassiapass/cassiapass/internal/wire"
@@ -67,7 +66,7 @@
 	if cfg.Seeds.Volatile || !cfg.Seeds.used() {
 		return nil
 	}
-	addrs, err := disklog.PeerAddrs(cfg.DataDir)
+	addrs, err := cfg.folder().PeerAddrs()
 	if err != nil {
 		// The seeds remain, and the hosts that greet this one.
 		cfg.Log.Warn().Err(err).Msg("contacts_not_read")
@@ -218,7 +217,7 @@
 		if slices.Equal(addrs, saved) {
 			continue
 		}
-		if err := disklog.SavePeerAddrs(c.cfg.DataDir, addrs); err != nil {
+		if err := c.cfg.folder().SavePeerAddrs(addrs); err != nil {
 			c.cfg.Log.Warn().Err(err).Msg("contacts_not_saved")
 			continue
 		}
--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -28,9 +28,10 @@
 type Config struct {
 	Host      ident.HostID
 	Group     ident.Group
-	Listen    string // address for the system's own processes
-	Advertise string // address under which other processes reach Listen; Listen's own if empty
-	DataDir   string // unused if Seeds.Volatile
+	Listen    string  // address for the system's own processes
+	Advertise string  // address under which other processes reach Listen; Listen's own if empty
+	DataDir   string  // unused if Seeds.Volatile
+	FS        port.FS // of DataDir; nil for the operating system's
 	// WrapDisk, if set, wraps the log on disk, to make it slow, stall or fail.
 	WrapDisk func(port.Disk) port.Disk
 	// Bootstrap starts a new group with this host as its only voter when the
@@ -77,12 +78,15 @@
 	contacts contacts
 }
 
+// folder returns the data folder.
+func (cfg Config) folder() disklog.Folder { return disklog.Folder{Dir: cfg.DataDir, FS: cfg.FS} }
+
 // openLog opens the log in the data folder, or a volatile one on a host without a disk.
 func (cfg Config) openLog() (port.Disk, *disklog.Restored, error) {
 	if cfg.Seeds.Volatile {
 		return volatileDisk{}, &disklog.Restored{Identity: cfg.freshIdentity()}, nil
 	}
-	disk, res, err := disklog.Open(cfg.DataDir, cfg.freshIdentity)
+	disk, res, err := cfg.folder().Open(cfg.freshIdentity)
 	if errors.Is(err, disklog.ErrDamaged) && cfg.Seeds.used() {
 		disk, res, err = cfg.recreateDataFolder(err)
 	}
--- a/internal/app/control/group.go
+++ b/internal/app/control/group.go
@@ -59,11 +59,11 @@
 // the damaged folder may have voted under that.
 func (cfg Config) recreateDataFolder(cause error) (*disklog.Log, *disklog.Restored, error) {
 	cfg.Log.Error().Err(cause).Msg("data_folder_discarded")
-	if err := disklog.Discard(cfg.DataDir); err != nil {
+	if err := cfg.folder().Discard(); err != nil {
 		return nil, nil, err
 	}
 	cfg.Seeds.Form = false
-	return disklog.Open(cfg.DataDir, cfg.freshIdentity)
+	return cfg.folder().Open(cfg.freshIdentity)
 }
 
 // foundingMembership returns the first membership of the group, and whether this host is
