control: a start logs which entries each log segment held

A folder that was read whole at six starts and had a gap at the seventh could not be told from one that was damaged long before: the log gave the number of entries alone. control_started and data_folder_discarded now give term, commit index and the range of entries of each of the newest segments, so that two starts of a host can be compared. No decision changes.

--- a/internal/adapter/disklog/disklog.go
+++ b/internal/adapter/disklog/disklog.go
@@ -68,10 +68,28 @@
 	Snapshot  consensus.Snapshot
 	Entries   []consensus.Entry
 	TornBytes int // bytes truncated from the end of the last segment
+	Segments  []Segment
+}
+
+// Segment is what a start read from one log segment.
+type Segment struct {
+	Number      uint64
+	First, Last uint64 // range of entries, zero if it holds none
+	TornBytes   int    // bytes after the last whole frame
+}
+
+// String returns the number, the entries and the torn bytes if there are any, for logs.
+func (s Segment) String() string {
+	out := fmt.Sprintf("%d:%d-%d", s.Number, s.First, s.Last)
+	if s.TornBytes > 0 {
+		out += fmt.Sprintf("+%dB", s.TornBytes)
+	}
+	return out
 }
 
 // Open locks and reads the data folder, creating it if it does not exist.
-// newIdentity is called if the folder has no identity yet.
+// newIdentity is called if the folder has no identity yet. With ErrDamaged, Restored holds what
+// was read up to the damage.
 func (f Folder) Open(newIdentity func() Identity) (*Log, *Restored, error) {
 	l := &Log{folder: f, fs: f.fs(), maxIndex: map[string]uint64{}}
 	if err := l.fs.MkdirAll(f.Dir); err != nil {
@@ -88,7 +106,7 @@
 	res, err := l.recover(newIdentity)
 	if err != nil {
 		_ = unlock()
-		return nil, nil, err
+		return nil, res, err
 	}
 	l.hardState = res.HardState
 	l.last = res.Snapshot.Index + uint64(len(res.Entries))
--- a/internal/adapter/disklog/recover.go
+++ b/internal/adapter/disklog/recover.go
@@ -135,40 +135,46 @@
 
 // recover reads the identity, the newest snapshot and all segments of the folder.
 func (l *Log) recover(makeIdentity func() Identity) (*Restored, error) {
-	id, err := l.identity(makeIdentity)
-	if err != nil {
-		return nil, err
+	res := &Restored{}
+	var err error
+	if res.Identity, err = l.identity(makeIdentity); err != nil {
+		return res, err
 	}
-	res := &Restored{Identity: id}
 	if err := l.recoverSnapshot(res); err != nil {
-		return nil, err
+		return res, err
 	}
+	r := &reader{fs: l.fs, snap: res.Snapshot}
+	err = l.readSegments(r, res)
+	res.HardState = r.hardState
+	res.Entries = r.entriesAfter(res.Snapshot)
+	return res, err
+}
+
+// readSegments reads all segments into r.
+func (l *Log) readSegments(r *reader, res *Restored) error {
 	segs, err := l.folder.list(segmentExt)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	r := &reader{fs: l.fs, snap: res.Snapshot}
-	for i, path := range segs {
+	for _, path := range segs {
 		n, err := fileNumber(path)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		l.seq = max(l.seq, n)
 		// Every start begins a new segment, so any segment that was the last
 		// one at a crash may have had a torn end. Later segments were written
 		// after that end had been truncated.
-		torn, err := r.readSegment(path)
+		r.segment = Segment{Number: n}
+		r.segment.TornBytes, err = r.readSegment(path)
+		res.Segments = append(res.Segments, r.segment)
 		if err != nil {
-			return nil, err
-		}
-		if i == len(segs)-1 {
-			res.TornBytes = torn
+			return err
 		}
+		res.TornBytes = r.segment.TornBytes
 		l.maxIndex[path] = r.lastIndex()
 	}
-	res.HardState = r.hardState
-	res.Entries = r.entriesAfter(res.Snapshot)
-	return res, nil
+	return nil
 }
 
 func (l *Log) recoverSnapshot(res *Restored) error {
@@ -183,6 +189,7 @@
 // reader accumulates the hard state and entries of all segments.
 type reader struct {
 	fs        port.FS
+	segment   Segment // being read
 	snap      consensus.Snapshot
 	hardState consensus.HardState
 	entries   []consensus.Entry
@@ -236,6 +243,10 @@
 		if err != nil {
 			return err
 		}
+		if r.segment.First == 0 {
+			r.segment.First = e.Index
+		}
+		r.segment.Last = e.Index
 		return r.appendEntry(e)
 	}
 	return fmt.Errorf("frame of unknown kind %d; it was written by a newer release", k)
--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -88,7 +88,7 @@
 	}
 	disk, res, err := cfg.folder().Open(cfg.freshIdentity)
 	if errors.Is(err, disklog.ErrDamaged) && cfg.Seeds.used() {
-		disk, res, err = cfg.recreateDataFolder(err)
+		disk, res, err = cfg.recreateDataFolder(res, err)
 	}
 	return disk, res, err
 }
@@ -150,7 +150,8 @@
 	})
 	c.hub.reset(ident.Index(res.Snapshot.Index))
 	c.peers.update(c.loop.node.Status().Membership)
-	c.cfg.Log.Info().Uint64("node", uint64(c.id)).Str("address", c.Addr()).Int("entries", len(res.Entries)).Uint64("snapshot", res.Snapshot.Index).Int("torn_bytes", res.TornBytes).Msg("control_started")
+	c.cfg.Log.Info().Uint64("node", uint64(c.id)).Str("address", c.Addr()).Int("entries", len(res.Entries)).Uint64("snapshot", res.Snapshot.Index).Int("torn_bytes", res.TornBytes).
+		Uint64("term", res.HardState.Term).Uint64("commit", res.HardState.Commit).Stringers("segments", newestSegments(res.Segments)).Msg("control_started")
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.loop.notifyDeployment()
--- a/internal/app/control/group.go
+++ b/internal/app/control/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -53,12 +54,24 @@
 	return disklog.Identity{Node: id, Group: cfg.Group}
 }
 
+// maxLoggedSegments is the number of segments, the newest ones, that a start logs.
+const maxLoggedSegments = 8
+
+// newestSegments returns the newest segments for the log.
+func newestSegments(segs []disklog.Segment) []fmt.Stringer {
+	var out []fmt.Stringer
+	for _, s := range segs[max(0, len(segs)-maxLoggedSegments):] {
+		out = append(out, s)
+	}
+	return out
+}
+
 // recreateDataFolder empties a damaged data folder; the host joins as a new member.
 // This is automatic because no operator is expected to do it, and a group whose host
 // stays down cannot tolerate the next loss. The new identity is never a founding one:
 // the damaged folder may have voted under that.
-func (cfg Config) recreateDataFolder(cause error) (*disklog.Log, *disklog.Restored, error) {
-	cfg.Log.Error().Err(cause).Msg("data_folder_discarded")
+func (cfg Config) recreateDataFolder(read *disklog.Restored, cause error) (*disklog.Log, *disklog.Restored, error) {
+	cfg.Log.Error().Err(cause).Uint64("node", uint64(read.Identity.Node)).Uint64("term", read.HardState.Term).Uint64("commit", read.HardState.Commit).Stringers("segments", newestSegments(read.Segments)).Msg("data_folder_discarded")
 	if err := cfg.folder().Discard(); err != nil {
 		return nil, nil, err
 	}
