--- a/internal/adapter/disklog/recover.go
+++ b/internal/adapter/disklog/recover.go
@@ -146,7 +146,7 @@
 	r := &reader{fs: l.fs, snap: res.Snapshot}
 	err = l.readSegments(r, res)
 	res.HardState = r.hardState
-	res.Entries = r.entriesAfter(res.Snapshot)
+	res.Entries = r.entriesAfterSnapshot()
 	return res, err
 }
 
@@ -254,41 +254,27 @@
 
 // appendEntry appends an entry. If its index is present already, the entry replaces all
 // from there on, because a new leader overwrites the tail of the log.
+//
+// Entries up to the snapshot are dropped: a segment that holds no others may have been removed
+// or not, as removals since the last sync of the folder may each be lost.
 func (r *reader) appendEntry(e consensus.Entry) error {
-	if len(r.entries) == 0 {
-		r.entries = append(r.entries, e)
-		return nil
-	}
-	first := r.entries[0].Index
 	switch {
-	case e.Index == r.snap.Index+1 && e.Index > r.lastIndex()+1:
-		r.entries = r.entries[:0] // first entry after an installed snapshot
+	case e.Index <= r.snap.Index:
+		r.entries = r.entries[:0]
+		return nil
 	case e.Index > r.lastIndex()+1:
 		return fmt.Errorf("index %d follows %d: entries in between are missing", e.Index, r.lastIndex())
-	case e.Index < first:
-		r.entries = r.entries[:0]
-	default:
-		r.entries = r.entries[:e.Index-first]
 	}
-	r.entries = append(r.entries, e)
+	r.entries = append(r.entries[:e.Index-r.snap.Index-1], e)
 	return nil
 }
 
-// entriesAfter returns the entries that follow the snapshot, or none if the log disagrees
-// with the snapshot: when a snapshot was received from a leader, older entries on disk
-// may belong to a log that was overwritten.
-func (r *reader) entriesAfter(s consensus.Snapshot) []consensus.Entry {
-	for i, e := range r.entries {
-		if e.Index == s.Index && e.Term != s.Term {
-			return nil
-		}
-		if e.Index == s.Index+1 {
-			agrees := i > 0 || s.Index == 0 || e.Term >= s.Term
-			if !agrees {
-				return nil
-			}
-			return append([]consensus.Entry(nil), r.entries[i:]...)
-		}
+// entriesAfterSnapshot returns the entries that follow the snapshot, or none if they belong to
+// a log that the snapshot replaced. The leader of the first one's term had the snapshot's last
+// entry in its log unless its term is older than that of the snapshot.
+func (r *reader) entriesAfterSnapshot() []consensus.Entry {
+	if len(r.entries) == 0 || r.entries[0].Term < r.snap.Term {
+		return nil
 	}
-	return nil
+	return r.entries
 }
