disklog: one Save is one frame

Cause: Save wrote each entry and the hard state as a frame of its own, all in one write. Change: one Save is one frame, so what is torn is the last frame, and no valid one can follow it. The check stays as strict: a valid frame after a broken one is damage. The checksum covers member, segment and offset, so that an entry whose content looks like a frame isn't one. The first frame of each segment tells where the log ended, so that a missing end of an earlier segment is noticed; before, it was only if entries followed. Format: segments have another extension.

--- a/internal/adapter/disklog/disklog.go
+++ b/internal/adapter/disklog/disklog.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -15,11 +16,12 @@
 )
 
 const (
-	segmentBytes = 16 << 20
-	lockName     = "lock"
-	segmentExt   = ".log"
-	snapshotExt  = ".snap"
-	tempExt      = ".tmp"
+	segmentBytes  = 16 << 20
+	maxKeptBuffer = 1 << 20 // bytes of the write buffer kept between writes
+	lockName      = "lock"
+	segmentExt    = ".seg"
+	snapshotExt   = ".snap"
+	tempExt       = ".tmp"
 )
 
 // ErrFailed means that an earlier write or sync failed and the log accepts no more
@@ -30,6 +32,24 @@
 // The folder must not be used again under its identity.
 var ErrDamaged = errors.New("the data folder is damaged")
 
+// ErrNewer means that the folder was written by a newer release, which must be used to read it.
+var ErrNewer = errors.New("the data folder was written by a newer release")
+
+// errBrokenFrame is the cause of ErrDamaged for a frame whose checksum does not match.
+var errBrokenFrame = errors.New("a broken frame precedes data that was acknowledged")
+
+// remedy tells an operator what to do with a damaged folder.
+const remedy = "move the whole data folder away, remove this member from the group and let the host join as a new one"
+
+// damaged reports damage of a file at an offset.
+func damaged(path string, offset int, cause error) error {
+	kind := ErrDamaged
+	if errors.Is(cause, ErrNewer) {
+		kind = ErrNewer
+	}
+	return oops.With("file", path, "offset", offset).Wrapf(errors.Join(kind, cause), "segment %s at offset %d; %s", path, offset, remedy)
+}
+
 // Folder is a data folder.
 type Folder struct {
 	Dir string
@@ -51,13 +71,12 @@
 	fs          port.FS
 	unlock      func() error
 	current     port.File
-	size        int64
 	last        uint64            // last index written
 	maxIndex    map[string]uint64 // last index that a segment may hold, by segment path
 	segmentPath string            // current segment path
+	place       place             // of the next frame
 	hardState   consensus.HardState
 	failed      bool
-	seq         uint64
 	buf         []byte
 }
 
@@ -67,7 +86,7 @@
 	HardState consensus.HardState
 	Snapshot  consensus.Snapshot
 	Entries   []consensus.Entry
-	TornBytes int // bytes truncated from the end of the last segment
+	TornBytes int // bytes after the last whole frame of the last segment
 	Segments  []Segment
 }
 
@@ -110,46 +129,64 @@
 	}
 	l.hardState = res.HardState
 	l.last = res.Snapshot.Index + uint64(len(res.Entries))
-	// Each start begins a new segment, so that nothing is ever appended after a
-	// frame that a crash may have torn.
-	if err := l.rotate(); err != nil {
+	if err := l.begin(); err != nil {
 		_ = unlock()
 		return nil, nil, err
 	}
 	return l, res, nil
 }
 
+// begin prepares a folder that was read for writing: a new segment, because the last one may end
+// in a torn frame.
+func (l *Log) begin() error {
+	if err := l.writeBarrier(); err != nil {
+		return err
+	}
+	return l.rotate(nil)
+}
+
+// writeBarrier creates the file that keeps releases which know only format 1 from reading the
+// folder. The sync of the folder that follows the first segment makes it durable too.
+func (l *Log) writeBarrier() error {
+	f, err := l.fs.Create(l.folder.path(barrierName))
+	if errors.Is(err, fs.ErrExist) {
+		return nil
+	}
+	if err != nil {
+		return oops.Wrapf(err, "create %s", barrierName)
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
 // Save implements port.Disk.
 func (l *Log) Save(entries []consensus.Entry, hs *consensus.HardState) error {
 	if l.failed {
 		return ErrFailed
 	}
-	l.buf = l.buf[:0]
-	for _, e := range entries {
-		l.buf = appendFrame(l.buf, frameEntry, encodeEntry(e))
-		l.last = e.Index
-	}
-	if hs != nil {
-		l.hardState = *hs
-		l.buf = appendFrame(l.buf, frameHardState, encodeHardState(*hs))
-	}
-	if len(l.buf) == 0 {
+	if len(entries) == 0 && hs == nil {
 		return nil
 	}
-	if err := l.write(l.buf); err != nil {
+	if err := l.write(batch{kind: batchSave, hardState: hs, entries: entries}); err != nil {
 		return err
 	}
+	if len(entries) > 0 {
+		l.last = entries[len(entries)-1].Index
+	}
+	if hs != nil {
+		l.hardState = *hs
+	}
 	l.maxIndex[l.segmentPath] = max(l.maxIndex[l.segmentPath], l.last)
-	if l.size >= segmentBytes {
-		return l.rotate()
+	if l.place.offset >= segmentBytes {
+		return l.rotate(nil)
 	}
 	return nil
 }
 
-// write appends b to the segment and syncs it. After any failure the log accepts no
+// write appends one frame to the segment and syncs it. After any failure the log accepts no
 // more writes.
-func (l *Log) write(b []byte) error {
-	if _, err := l.current.Write(b); err != nil {
+func (l *Log) write(b batch) error {
+	l.buf = appendFrame(l.buf[:0], l.place, b.encode())
+	if _, err := l.current.Write(l.buf); err != nil {
 		l.failed = true
 		return oops.With("file", l.segmentPath).Wrapf(err, "write log")
 	}
@@ -157,29 +194,33 @@
 		l.failed = true
 		return oops.With("file", l.segmentPath).Wrapf(err, "sync log")
 	}
-	l.size += int64(len(b))
+	l.place.offset += int64(len(l.buf))
+	if cap(l.buf) > maxKeptBuffer {
+		l.buf = nil
+	}
 	return nil
 }
 
 // rotate starts a new segment. Its first frame repeats the hard state, so that older
-// segments can be removed.
-func (l *Log) rotate() error {
+// segments can be removed, and the given entries.
+func (l *Log) rotate(repeated []consensus.Entry) error {
 	if l.current != nil {
 		if err := l.current.Close(); err != nil {
 			l.failed = true
 			return oops.Wrapf(err, "close segment")
 		}
 	}
-	l.seq++
-	l.segmentPath = filepath.Join(l.folder.Dir, fmt.Sprintf("%016x%s", l.seq, segmentExt))
+	l.place.segment++
+	l.place.offset = 0
+	l.segmentPath = l.folder.path(fmt.Sprintf("%016x%s", l.place.segment, segmentExt))
 	f, err := l.fs.Create(l.segmentPath)
 	if err != nil {
 		l.failed = true
 		return oops.Wrapf(err, "create segment")
 	}
-	l.current, l.size = f, 0
+	l.current = f
 	l.maxIndex[l.segmentPath] = l.last
-	if err := l.write(appendFrame(nil, frameHardState, encodeHardState(l.hardState))); err != nil {
+	if err := l.write(batch{kind: batchStart, last: l.last, hardState: &l.hardState, entries: repeated}); err != nil {
 		return err
 	}
 	return l.folder.sync()
@@ -196,18 +237,18 @@
 		return err
 	}
 	l.last = max(l.last, s.Index)
-	if err := l.rotate(); err != nil {
+	if err := l.rotate(nil); err != nil {
 		return err
 	}
 	return l.removeObsolete(s.Index)
 }
 
 func (l *Log) removeObsolete(index uint64) error {
-	names, err := l.folder.list(segmentExt)
+	segs, err := l.folder.segments()
 	if err != nil {
 		return err
 	}
-	for _, name := range names {
+	for _, name := range segs {
 		if name == l.segmentPath || l.maxIndex[name] > index {
 			break // later segments may depend on the truncation of the log by this one
 		}
@@ -253,6 +294,17 @@
 	return out, nil
 }
 
+// segments returns the paths of all segments, oldest first.
+func (f Folder) segments() ([]string, error) {
+	old, err := f.list(segmentExt1)
+	if err != nil {
+		return nil, err
+	}
+	old = slices.DeleteFunc(old, func(path string) bool { return filepath.Base(path) == barrierName })
+	present, err := f.list(segmentExt)
+	return append(old, present...), err
+}
+
 // fileNumber returns the number in the file name of a segment or snapshot.
 func fileNumber(path string) (uint64, error) {
 	base := filepath.Base(path)
--- a/internal/adapter/disklog/disklog_test.go
+++ b/internal/adapter/disklog/disklog_test.go
@@ -33,12 +33,17 @@
 	return l, res
 }
 
-// threeEntries saves three entries, closes the folder and returns the path and content
-// of the segment that holds them.
+// threeEntries saves three entries one by one, closes the folder and returns the path and
+// content of the segment that holds them.
 func threeEntries(t *testing.T, dir string) (string, []byte) {
 	t.Helper()
 	l, _ := open(t, dir)
-	if err := errors.Join(l.Save(entries(1, 1, 3), nil), l.Close()); err != nil {
+	for i := uint64(1); i <= 3; i++ {
+		if err := l.Save(entries(1, i, i), nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.Close(); err != nil {
 		t.Fatal(err)
 	}
 	path := lastSegment(t, l)
--- a/internal/adapter/disklog/frame.go
+++ b/internal/adapter/disklog/frame.go
@@ -3,25 +3,16 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"encoding/json"
-	"fmt"
+	"errors"
 	"hash/crc32"
 
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
 )
 
 const (
-	frameMagic  = 0x43504c31
-	frameHeader = 13 // mark, length, checksum, kind
-	maxFrame    = 64 << 20
-)
-
-// frameKind is the type of a frame's payload.
-type frameKind byte
-
-const (
-	frameEntry frameKind = iota + 1
-	frameHardState
+	frameMagic  = 0x43504c32
+	frameHeader = 12 // mark, length, checksum
+	entryHeader = 21 // term, index, kind, length
 )
 
 var (
@@ -29,76 +20,158 @@
 	magicBytes = binary.BigEndian.AppendUint32(nil, frameMagic)
 )
 
-// appendFrame appends one frame to buf.
-func appendFrame(buf []byte, k frameKind, payload []byte) []byte {
+var errShortFrame = errors.New("a frame ends early")
+
+// place is where a frame lies. It is part of the frame's checksum, so that content which looks
+// like a frame is not taken for one.
+type place struct {
+	node    consensus.NodeID
+	segment uint64
+	offset  int64
+}
+
+func (p place) checksum(payload []byte) uint32 {
+	b := binary.BigEndian.AppendUint64(nil, uint64(p.node))
+	b = binary.BigEndian.AppendUint64(b, p.segment)
+	b = binary.BigEndian.AppendUint64(b, uint64(p.offset))
+	return crc32.Update(crc32.Checksum(b, castagnoli), castagnoli, payload)
+}
+
+func (p place) at(offset int) place {
+	p.offset = int64(offset)
+	return p
+}
+
+// appendFrame appends one frame at its place to buf.
+func appendFrame(buf []byte, p place, payload []byte) []byte {
 	buf = append(buf, magicBytes...)
 	buf = binary.BigEndian.AppendUint32(buf, uint32(len(payload)))
-	buf = binary.BigEndian.AppendUint32(buf, checksum(k, payload))
-	buf = append(buf, byte(k))
+	buf = binary.BigEndian.AppendUint32(buf, p.checksum(payload))
 	return append(buf, payload...)
 }
 
-func checksum(k frameKind, payload []byte) uint32 {
-	return crc32.Update(crc32.Checksum([]byte{byte(k)}, castagnoli), castagnoli, payload)
-}
-
-// frameAt decodes the frame at the start of b. ok is false if there is no complete
-// frame with a valid checksum.
-func frameAt(b []byte) (k frameKind, payload []byte, size int, ok bool) {
-	if len(b) < frameHeader || !bytes.Equal(b[:4], magicBytes) {
-		return 0, nil, 0, false
+// frameAt returns the payload and size of the frame at place p, which b starts with. ok is false
+// if there is no complete frame with a valid checksum.
+func frameAt(b []byte, p place) (payload []byte, size int, ok bool) {
+	if len(b) < frameHeader || !bytes.HasPrefix(b, magicBytes) {
+		return nil, 0, false
 	}
-	n := int(binary.BigEndian.Uint32(b[4:]))
-	if n > maxFrame || len(b) < frameHeader+n {
-		return 0, nil, 0, false
+	n := int64(binary.BigEndian.Uint32(b[4:]))
+	if int64(len(b)) < frameHeader+n {
+		return nil, 0, false
 	}
-	k = frameKind(b[12])
 	payload = b[frameHeader : frameHeader+n]
-	if checksum(k, payload) != binary.BigEndian.Uint32(b[8:]) {
-		return 0, nil, 0, false
+	if p.checksum(payload) != binary.BigEndian.Uint32(b[8:]) {
+		return nil, 0, false
 	}
-	return k, payload, frameHeader + n, true
+	return payload, frameHeader + int(n), true
 }
 
-// containsFrame reports whether b contains a valid frame at any offset. After a damaged
-// frame this distinguishes lost data from a torn end.
-func containsFrame(b []byte) bool {
-	for {
-		i := bytes.Index(b, magicBytes)
+// containsFrame reports whether the segment b holds a valid frame at or after an offset. After a
+// broken frame this distinguishes lost data from a torn end.
+func containsFrame(b []byte, p place, from int) bool {
+	for from < len(b) {
+		i := bytes.Index(b[from:], magicBytes)
 		if i < 0 {
 			return false
 		}
-		if _, _, _, ok := frameAt(b[i:]); ok {
+		from += i
+		if _, _, ok := frameAt(b[from:], p.at(from)); ok {
 			return true
 		}
-		b = b[i+1:]
+		from++
 	}
+	return false
+}
+
+// batchKind is the first byte of a frame's payload.
+type batchKind byte
+
+const (
+	// batchSave is what one Save appends.
+	batchSave batchKind = iota + 1
+	// batchStart is the first frame of a segment.
+	batchStart
+)
+
+// batch is the payload of a frame: entries and the hard state that are durable together.
+type batch struct {
+	kind      batchKind
+	last      uint64               // of a batchStart: index at which the log before it ends
+	hardState *consensus.HardState // nil if unchanged
+	entries   []consensus.Entry
 }
 
-// encodeEntry encodes an entry as term, index, kind and data.
-func encodeEntry(e consensus.Entry) []byte {
-	b := make([]byte, 0, 17+len(e.Data))
-	b = binary.BigEndian.AppendUint64(b, e.Term)
-	b = binary.BigEndian.AppendUint64(b, e.Index)
-	b = append(b, byte(e.Kind))
-	return append(b, e.Data...)
+// encode encodes the kind, the last index, whether there is a hard state, the hard state, and
+// the entries.
+func (b batch) encode() []byte {
+	size := frameHeader + entryHeader
+	for _, e := range b.entries {
+		size += entryHeader + len(e.Data)
+	}
+	out := make([]byte, 0, size)
+	out = append(out, byte(b.kind))
+	out = binary.BigEndian.AppendUint64(out, b.last)
+	if b.hardState == nil {
+		out = append(out, 0)
+	} else {
+		out = append(out, 1)
+		out = binary.BigEndian.AppendUint64(out, b.hardState.Term)
+		out = binary.BigEndian.AppendUint64(out, uint64(b.hardState.Vote))
+		out = binary.BigEndian.AppendUint64(out, b.hardState.Commit)
+	}
+	for _, e := range b.entries {
+		out = binary.BigEndian.AppendUint64(out, e.Term)
+		out = binary.BigEndian.AppendUint64(out, e.Index)
+		out = append(out, byte(e.Kind))
+		out = binary.BigEndian.AppendUint32(out, uint32(len(e.Data)))
+		out = append(out, e.Data...)
+	}
+	return out
 }
 
-func decodeEntry(b []byte) (consensus.Entry, error) {
-	if len(b) < 17 {
-		return consensus.Entry{}, fmt.Errorf("entry of %d bytes", len(b))
+// decodeBatch decodes a payload. The data of its entries is copied.
+func decodeBatch(p []byte) (batch, error) {
+	const start, hardStateSize = 10, 24
+	if len(p) < start {
+		return batch{}, errShortFrame
+	}
+	b := batch{kind: batchKind(p[0]), last: binary.BigEndian.Uint64(p[1:])}
+	if b.kind != batchSave && b.kind != batchStart || p[9] > 1 {
+		return batch{}, ErrNewer
 	}
-	e := consensus.Entry{Term: binary.BigEndian.Uint64(b), Index: binary.BigEndian.Uint64(b[8:]), Kind: consensus.EntryKind(b[16])}
-	if len(b) > 17 {
-		e.Data = append([]byte(nil), b[17:]...)
+	hasHardState := p[9] == 1
+	p = p[start:]
+	if hasHardState {
+		if len(p) < hardStateSize {
+			return batch{}, errShortFrame
+		}
+		b.hardState = &consensus.HardState{Term: binary.BigEndian.Uint64(p), Vote: consensus.NodeID(binary.BigEndian.Uint64(p[8:])), Commit: binary.BigEndian.Uint64(p[16:])}
+		p = p[hardStateSize:]
 	}
-	return e, nil
+	for len(p) > 0 {
+		e, rest, err := decodeEntry(p)
+		if err != nil {
+			return batch{}, err
+		}
+		b.entries, p = append(b.entries, e), rest
+	}
+	return b, nil
 }
 
-func encodeHardState(hs consensus.HardState) []byte {
-	b, err := json.Marshal(hs)
-	if err != nil {
-		panic("invariant: disklog: hard state cannot be encoded: " + err.Error())
+// decodeEntry decodes the entry that p starts with and returns the rest.
+func decodeEntry(p []byte) (consensus.Entry, []byte, error) {
+	if len(p) < entryHeader {
+		return consensus.Entry{}, nil, errShortFrame
+	}
+	e := consensus.Entry{Term: binary.BigEndian.Uint64(p), Index: binary.BigEndian.Uint64(p[8:]), Kind: consensus.EntryKind(p[16])}
+	n := int64(binary.BigEndian.Uint32(p[17:]))
+	p = p[entryHeader:]
+	if int64(len(p)) < n {
+		return consensus.Entry{}, nil, errShortFrame
+	}
+	if n > 0 {
+		e.Data = bytes.Clone(p[:n])
 	}
-	return b
+	return e, p[n:], nil
 }
--- a/internal/adapter/disklog/osfs.go
+++ b/internal/adapter/disklog/osfs.go
@@ -38,8 +38,6 @@
 	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
 }
 
-func (osFS) Truncate(path string, size int64) error { return os.Truncate(path, size) }
-
 func (osFS) Rename(from, to string) error { return os.Rename(from, to) }
 
 func (osFS) Remove(path string) error { return os.Remove(path) }
--- a/internal/adapter/disklog/recover.go
+++ b/internal/adapter/disklog/recover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"strings"
 
 	"github.com/samber/oops"
 
@@ -34,7 +35,7 @@
 	}
 	var id Identity
 	if err := json.Unmarshal(b, &id); err != nil || id.Node == consensus.None {
-		return Identity{}, oops.Wrapf(ErrDamaged, "%s is damaged: remove the whole data folder, remove this member from the group and let the host join as a new one", path)
+		return Identity{}, oops.Wrapf(ErrDamaged, "%s is damaged; %s", path, remedy)
 	}
 	return id, nil
 }
@@ -42,12 +43,12 @@
 // newIdentity writes the identity of an empty folder. A folder with log segments but
 // without an identity is damaged.
 func (l *Log) newIdentity(path string, id Identity) (Identity, error) {
-	segs, err := l.folder.list(segmentExt)
+	segs, err := l.folder.segments()
 	if err != nil {
 		return Identity{}, err
 	}
 	if len(segs) > 0 {
-		return Identity{}, oops.Wrapf(ErrDamaged, "%s is missing but log segments exist: remove the whole data folder, remove this member from the group and let the host join as a new one", path)
+		return Identity{}, oops.Wrapf(ErrDamaged, "%s is missing but log segments exist; %s", path, remedy)
 	}
 	b, err := json.Marshal(id)
 	if err != nil {
@@ -92,7 +93,7 @@
 }
 
 func appendChecksum(b []byte) []byte {
-	sum := checksum(0, b)
+	sum := checksum1(0, b)
 	return append(b, byte(sum>>24), byte(sum>>16), byte(sum>>8), byte(sum))
 }
 
@@ -102,13 +103,13 @@
 	if err != nil {
 		return s, oops.Wrapf(err, "read snapshot")
 	}
-	damaged := oops.Wrapf(ErrDamaged, "%s: the checksum of the snapshot does not match: remove the whole data folder, remove this member from the group and let the host join as a new one", path)
+	damaged := oops.Wrapf(ErrDamaged, "%s: the checksum of the snapshot does not match; %s", path, remedy)
 	if len(b) < 4 {
 		return s, damaged
 	}
 	body, tail := b[:len(b)-4], b[len(b)-4:]
 	sum := uint32(tail[0])<<24 | uint32(tail[1])<<16 | uint32(tail[2])<<8 | uint32(tail[3])
-	if sum != checksum(0, body) {
+	if sum != checksum1(0, body) {
 		return s, damaged
 	}
 	if err := json.Unmarshal(body, &s); err != nil {
@@ -133,17 +134,19 @@
 	return f.sync()
 }
 
-// recover reads the identity, the newest snapshot and all segments of the folder.
+// recover reads the identity, the newest snapshot and all segments of the folder. It changes
+// nothing that a later start reads.
 func (l *Log) recover(makeIdentity func() Identity) (*Restored, error) {
 	res := &Restored{}
 	var err error
 	if res.Identity, err = l.identity(makeIdentity); err != nil {
 		return res, err
 	}
+	l.place.node = res.Identity.Node
 	if err := l.recoverSnapshot(res); err != nil {
 		return res, err
 	}
-	r := &reader{fs: l.fs, snap: res.Snapshot}
+	r := &reader{fs: l.fs, snap: res.Snapshot, place: l.place}
 	err = l.readSegments(r, res)
 	res.HardState = r.hardState
 	res.Entries = r.entriesAfterSnapshot()
@@ -152,7 +155,7 @@
 
 // readSegments reads all segments into r.
 func (l *Log) readSegments(r *reader, res *Restored) error {
-	segs, err := l.folder.list(segmentExt)
+	segs, err := l.folder.segments()
 	if err != nil {
 		return err
 	}
@@ -161,18 +164,15 @@
 		if err != nil {
 			return err
 		}
-		l.seq = max(l.seq, n)
-		// Every start begins a new segment, so any segment that was the last
-		// one at a crash may have had a torn end. Later segments were written
-		// after that end had been truncated.
+		l.place.segment = max(l.place.segment, n)
 		r.segment = Segment{Number: n}
-		r.segment.TornBytes, err = r.readSegment(path)
+		err = r.readSegment(path)
 		res.Segments = append(res.Segments, r.segment)
 		if err != nil {
 			return err
 		}
 		res.TornBytes = r.segment.TornBytes
-		l.maxIndex[path] = r.lastIndex()
+		l.maxIndex[path] = max(r.lastIndex(), r.segment.Last)
 	}
 	return nil
 }
@@ -190,66 +190,59 @@
 type reader struct {
 	fs        port.FS
 	segment   Segment // being read
+	place     place   // of the frame being read
 	snap      consensus.Snapshot
 	hardState consensus.HardState
 	entries   []consensus.Entry
 }
 
-func (r *reader) lastIndex() uint64 {
-	if len(r.entries) == 0 {
-		return r.snap.Index
-	}
-	return r.entries[len(r.entries)-1].Index
-}
+func (r *reader) lastIndex() uint64 { return r.snap.Index + uint64(len(r.entries)) }
 
-// readSegment reads one segment and truncates a torn end. It returns the number of
-// bytes truncated.
-func (r *reader) readSegment(path string) (torn int, err error) {
+// readSegment reads one segment up to a torn end, if it has one. Any segment may: a start begins
+// a new one and leaves the last one as it is.
+func (r *reader) readSegment(path string) error {
 	b, err := r.fs.ReadFile(path)
 	if err != nil {
-		return 0, oops.Wrapf(err, "read segment")
+		return oops.Wrapf(err, "read segment")
 	}
-	off := 0
-	for off < len(b) {
-		k, payload, size, ok := frameAt(b[off:])
+	if strings.HasSuffix(path, segmentExt1) {
+		return r.readSegment1(path, b)
+	}
+	r.place.segment = r.segment.Number
+	for off := 0; off < len(b); {
+		payload, size, ok := frameAt(b[off:], r.place.at(off))
 		if !ok {
-			return r.truncateTornEnd(path, b, off)
+			r.segment.TornBytes = len(b) - off
+			if containsFrame(b, r.place, off+1) {
+				return damaged(path, off, errBrokenFrame)
+			}
+			return nil
 		}
-		if err := r.applyFrame(k, payload); err != nil {
-			return 0, oops.With("file", path, "offset", off).Wrapf(errors.Join(ErrDamaged, err), "segment %s at offset %d", path, off)
+		if err := r.applyFrame(payload); err != nil {
+			return damaged(path, off, err)
 		}
 		off += size
 	}
-	return 0, nil
+	return nil
 }
 
-func (r *reader) truncateTornEnd(path string, b []byte, off int) (int, error) {
-	if containsFrame(b[off+1:]) {
-		return 0, oops.With("file", path, "offset", off).Wrapf(ErrDamaged,
-			"%s is damaged at offset %d, before data that was acknowledged: remove the whole data folder, remove this member from the group and let the host join as a new one", path, off)
-	}
-	if err := r.fs.Truncate(path, int64(off)); err != nil {
-		return 0, oops.Wrapf(err, "cut torn end")
+func (r *reader) applyFrame(payload []byte) error {
+	b, err := decodeBatch(payload)
+	if err != nil {
+		return err
 	}
-	return len(b) - off, nil
-}
-
-func (r *reader) applyFrame(k frameKind, payload []byte) error {
-	switch k {
-	case frameHardState:
-		return json.Unmarshal(payload, &r.hardState)
-	case frameEntry:
-		e, err := decodeEntry(payload)
-		if err != nil {
+	for _, e := range b.entries {
+		if err := r.appendEntry(e); err != nil {
 			return err
 		}
-		if r.segment.First == 0 {
-			r.segment.First = e.Index
-		}
-		r.segment.Last = e.Index
-		return r.appendEntry(e)
 	}
-	return fmt.Errorf("frame of unknown kind %d; it was written by a newer release", k)
+	if b.kind == batchStart && b.last > r.lastIndex() {
+		return fmt.Errorf("the log ended at index %d, not %d: entries are missing", b.last, r.lastIndex())
+	}
+	if b.hardState != nil {
+		r.hardState = *b.hardState
+	}
+	return nil
 }
 
 // appendEntry appends an entry. If its index is present already, the entry replaces all
@@ -258,6 +251,10 @@
 // Entries up to the snapshot are dropped: a segment that holds no others may have been removed
 // or not, as removals since the last sync of the folder may each be lost.
 func (r *reader) appendEntry(e consensus.Entry) error {
+	if r.segment.First == 0 {
+		r.segment.First = e.Index
+	}
+	r.segment.Last = e.Index
 	switch {
 	case e.Index <= r.snap.Index:
 		r.entries = r.entries[:0]
--- a/internal/fake/simdisk/disk.go
+++ b/internal/fake/simdisk/disk.go
@@ -59,7 +59,7 @@
 	lost    []change // not stored by a failed sync
 }
 
-// change is a write at an offset, or a truncation to the offset if data is nil.
+// change is a write at an offset.
 type change struct {
 	off  int
 	data []byte
@@ -259,21 +259,6 @@
 	return &file{disk: d, inode: n, process: d.process}, nil
 }
 
-// Truncate implements port.FS.
-func (d *Disk) Truncate(name string, size int64) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if err := d.begin(); err != nil {
-		return err
-	}
-	n, ok := d.live[name]
-	if !ok {
-		return &fs.PathError{Op: "truncate", Path: name, Err: fs.ErrNotExist}
-	}
-	n.pending = append(n.pending, change{off: int(size)})
-	return nil
-}
-
 // Rename implements port.FS.
 func (d *Disk) Rename(from, to string) error {
 	d.mu.Lock()
--- a/internal/fake/simdisk/file.go
+++ b/internal/fake/simdisk/file.go
@@ -106,9 +106,6 @@
 
 // apply returns b with the change; a gap before it holds zeros.
 func (c change) apply(b []byte) []byte {
-	if c.data == nil {
-		return append([]byte{}, b[:min(len(b), c.off)]...)
-	}
 	out := make([]byte, max(len(b), c.off+len(c.data)))
 	copy(out, b)
 	copy(out[c.off:], c.data)
--- a/internal/port/fs.go
+++ b/internal/port/fs.go
@@ -12,7 +12,6 @@
 	ReadFile(path string) ([]byte, error)
 	// Create creates a file for appending. It fails if the name exists.
 	Create(path string) (File, error)
-	Truncate(path string, size int64) error
 	Rename(from, to string) error
 	Remove(path string) error
 	SyncDir(dir string) error
