disklog: a start makes durable what it read

What callers saw: after a loss of power everywhere each request was refused and an acknowledged change was gone, for good. Four control hosts had emptied their folders. Cause: a process killed between the write and the sync of a Save leaves an entry in the page cache. The next start read it, answered for it and began a new segment; nothing ever synced the old one again. A later loss of power took the entry out of the middle of the log ("index 119 follows 117" where 118 had been read at six starts), and the folder counted as damaged. All hosts were killed at once during a burst of changes, so all of them had such a place. Class: state that is read back and acted on before it is known to be durable. Evidence: the record's gaps lie at the first entry of a segment, one Save wide, in folders that earlier starts read whole. Change: the first frame of the segment that a start begins repeats the newest frame that it read. Only that frame can lack its sync: any other precedes one that was written after its sync. A sync of the old segment would do after a kill, but not after a failed sync, where the kernel drops the data and the next sync succeeds.

--- a/internal/adapter/disklog/disklog.go
+++ b/internal/adapter/disklog/disklog.go
@@ -54,6 +54,15 @@
 type Folder struct {
 	Dir string
 	FS  port.FS // nil for the operating system's
+
+	segmentBytes int64 // replaces the constant of this name if not 0
+}
+
+func (f Folder) segmentSize() int64 {
+	if f.segmentBytes > 0 {
+		return f.segmentBytes
+	}
+	return segmentBytes
 }
 
 func (f Folder) fs() port.FS {
@@ -88,6 +97,14 @@
 	Entries   []consensus.Entry
 	TornBytes int // bytes after the last whole frame of the last segment
 	Segments  []Segment
+	// newest is the number of Entries that the newest frame holds. Its sync may never have
+	// happened, if the process was killed, or have failed.
+	newest int
+}
+
+// maybeUnsynced returns the entries that may be gone after a loss of power.
+func (r *Restored) maybeUnsynced() []consensus.Entry {
+	return r.Entries[len(r.Entries)-min(r.newest, len(r.Entries)):]
 }
 
 // Segment is what a start read from one log segment.
@@ -129,7 +146,7 @@
 	}
 	l.hardState = res.HardState
 	l.last = res.Snapshot.Index + uint64(len(res.Entries))
-	if err := l.begin(); err != nil {
+	if err := l.begin(res.maybeUnsynced()); err != nil {
 		_ = unlock()
 		return nil, nil, err
 	}
@@ -137,12 +154,12 @@
 }
 
 // begin prepares a folder that was read for writing: a new segment, because the last one may end
-// in a torn frame.
-func (l *Log) begin() error {
+// in a torn frame. The segment repeats the entries that may not be durable where they were read.
+func (l *Log) begin(maybeUnsynced []consensus.Entry) error {
 	if err := l.writeBarrier(); err != nil {
 		return err
 	}
-	return l.rotate(nil)
+	return l.rotate(maybeUnsynced)
 }
 
 // writeBarrier creates the file that keeps releases which know only format 1 from reading the
@@ -176,7 +193,7 @@
 		l.hardState = *hs
 	}
 	l.maxIndex[l.segmentPath] = max(l.maxIndex[l.segmentPath], l.last)
-	if l.place.offset >= segmentBytes {
+	if l.place.offset >= l.folder.segmentSize() {
 		return l.rotate(nil)
 	}
 	return nil
--- a/internal/adapter/disklog/doc.go
+++ b/internal/adapter/disklog/doc.go
@@ -15,7 +15,10 @@
 //     Recovery drops such entries, so it makes no difference which removals were lost.
 //   - A snapshot, the identity and the contacts are written to a temporary file, synced and
 //     renamed, and the folder is synced before anything relies on the new name.
-//   - Recovery changes nothing that a later start reads. It appends a segment.
+//   - Recovery changes nothing that a later start reads. It appends a segment, whose first frame
+//     repeats the hard state and the newest frame read. That frame alone may be in the page cache
+//     but not on the disk: its sync may not have happened before a kill, or have failed. Every
+//     other frame precedes a later one, which was written after its sync.
 //
 // After a failed write or sync the log accepts no more writes: the kernel may have
 // dropped the data, and a later successful sync would not prove otherwise.
--- a/internal/adapter/disklog/format1.go
+++ b/internal/adapter/disklog/format1.go
@@ -72,6 +72,8 @@
 
 // readSegment1 reads one segment of format 1.
 func (r *reader) readSegment1(path string, b []byte) error {
+	// It does not tell which frames one Save wrote: all may have been written by the last one.
+	defer func() { r.newest = len(r.entries) }()
 	for off := 0; off < len(b); {
 		k, payload, size, ok := frameAt1(b[off:])
 		if !ok {
--- a/internal/adapter/disklog/recover.go
+++ b/internal/adapter/disklog/recover.go
@@ -149,7 +149,7 @@
 	r := &reader{fs: l.fs, snap: res.Snapshot, place: l.place}
 	err = l.readSegments(r, res)
 	res.HardState = r.hardState
-	res.Entries = r.entriesAfterSnapshot()
+	res.Entries, res.newest = r.entriesAfterSnapshot(), r.newest
 	return res, err
 }
 
@@ -194,6 +194,7 @@
 	snap      consensus.Snapshot
 	hardState consensus.HardState
 	entries   []consensus.Entry
+	newest    int // entries in the newest frame
 }
 
 func (r *reader) lastIndex() uint64 { return r.snap.Index + uint64(len(r.entries)) }
@@ -231,6 +232,7 @@
 	if err != nil {
 		return err
 	}
+	r.newest = len(b.entries)
 	for _, e := range b.entries {
 		if err := r.appendEntry(e); err != nil {
 			return err
