disklog: a flipped byte in the identity is refused

Cause: the identity file had no checksum. A flipped digit made another member of the host, silently. With frames that are bound to their member it would have read an empty log besides. Change: a checksum beside it. Files without one, written by earlier releases, are read as before.

--- a/internal/adapter/disklog/recover.go
+++ b/internal/adapter/disklog/recover.go
@@ -24,6 +24,16 @@
 
 const identityName = "identity.json"
 
+// storedIdentity is the content of the identity file.
+type storedIdentity struct {
+	Identity
+	Sum *uint32 `json:"sum,omitempty"` // checksum; nil if an earlier release wrote the file
+}
+
+func (id Identity) checksum() uint32 {
+	return place{node: id.Node}.checksum([]byte(id.Group))
+}
+
 func (l *Log) identity(makeIdentity func() Identity) (Identity, error) {
 	path := l.folder.path(identityName)
 	b, err := l.fs.ReadFile(path)
@@ -33,11 +43,12 @@
 	if err != nil {
 		return Identity{}, oops.Wrapf(err, "read identity")
 	}
-	var id Identity
-	if err := json.Unmarshal(b, &id); err != nil || id.Node == consensus.None {
+	var id storedIdentity
+	err = json.Unmarshal(b, &id)
+	if err != nil || id.Node == consensus.None || id.Sum != nil && *id.Sum != id.checksum() {
 		return Identity{}, oops.Wrapf(ErrDamaged, "%s is damaged; %s", path, remedy)
 	}
-	return id, nil
+	return id.Identity, nil
 }
 
 // newIdentity writes the identity of an empty folder. A folder with log segments but
@@ -50,7 +61,8 @@
 	if len(segs) > 0 {
 		return Identity{}, oops.Wrapf(ErrDamaged, "%s is missing but log segments exist; %s", path, remedy)
 	}
-	b, err := json.Marshal(id)
+	sum := id.checksum()
+	b, err := json.Marshal(storedIdentity{Identity: id, Sum: &sum})
 	if err != nil {
 		return Identity{}, oops.Wrapf(err, "encode identity")
 	}
@@ -113,7 +125,7 @@
 		return s, damaged
 	}
 	if err := json.Unmarshal(body, &s); err != nil {
-		return s, oops.Wrapf(err, "decode snapshot %s", path)
+		return s, oops.Wrapf(errors.Join(ErrNewer, err), "decode snapshot %s", path)
 	}
 	return s, nil
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -49,6 +49,11 @@
   go test ./platform -run '^$' -fuzz "^$target\$" -fuzztime 100000x -fuzzminimizetime 20x | grep -E '^(ok|FAIL|---)|context|testdata'
 done
 
+echo "== fuzz what is read back from a disk, 20000 inputs each"
+for target in FuzzSegment FuzzSnapshot; do
+  go test ./internal/adapter/disklog -run '^$' -fuzz "^$target\$" -fuzztime 20000x -fuzzminimizetime 20x | grep -E '^(ok|FAIL|---)|context|testdata'
+done
+
 if [ -n "$known" ]; then
   echo "== known to fail, see KNOWN-RED.txt"
   cat KNOWN-RED.txt
