--- a/internal/adapter/disklog/damage_test.go
+++ b/internal/adapter/disklog/damage_test.go
@@ -93,6 +93,28 @@
 	}
 }
 
+// Guards against acknowledged entries that are gone with the end of a segment which only votes follow.
+func TestShortenedSegmentBeforeAVoteIsRefused(t *testing.T) {
+	h, err := newHistory(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.save(0, 1, 30, 1, false)
+	whole := int(h.log.place.offset)
+	h.save(1, 1, 30, 1, false)
+	h.save(2, 0, 0, 2, true)
+	segment := h.log.segmentPath
+	if err := h.restart(2, 0); err != nil {
+		t.Fatal(err)
+	}
+	h.save(2, 0, 0, 3, true)
+	h.disk.LosePower(simdisk.Nothing)
+	h.disk.Corrupt(segment, func(b []byte) []byte { return b[:whole] })
+	if _, _, err := h.folder.Open(identity); !errors.Is(err, ErrDamaged) {
+		t.Fatal(err)
+	}
+}
+
 // FuzzSegment checks that no content of a segment makes recovery fail otherwise than by a report.
 func FuzzSegment(f *testing.F) {
 	h, err := newHistory(1)
--- a/internal/adapter/disklog/format1_test.go
+++ b/internal/adapter/disklog/format1_test.go
@@ -57,6 +57,16 @@
 	is.True(errors.Is(err, ErrDamaged))
 }
 
+func TestMissingSegmentOfFormat1IsRefused(t *testing.T) {
+	is := is.New(t)
+	dir := format1Folder(t)
+	segs, err := Folder{Dir: dir}.segments()
+	is.NoErr(err)
+	is.NoErr(os.Remove(segs[1]))
+	_, _, err = Folder{Dir: dir}.Open(identity)
+	is.True(errors.Is(err, ErrDamaged))
+}
+
 // Guards against an older release that takes a newer folder for a damaged one and empties it.
 func TestBarrierIsReadBeforeAnySegmentOfFormat1(t *testing.T) {
 	is := is.New(t)
--- a/internal/adapter/disklog/power_test.go
+++ b/internal/adapter/disklog/power_test.go
@@ -103,3 +103,21 @@
 		}
 	}
 }
+
+// Guards against an entry that holds a copy of a frame, which makes a torn write look like damage.
+func TestTornWriteOfContentThatLooksLikeAFrameIsNotDamage(t *testing.T) {
+	for seed := range uint64(100) {
+		d := simdisk.New(seed)
+		l := openSim(t, d, 0)
+		saveSim(t, l, entries(1, 1, 1), nil)
+		segment, err := d.ReadFile(l.segmentPath)
+		if err != nil {
+			t.Fatal(err)
+		}
+		stopBeforeSync(t, d, l, []consensus.Entry{{Term: 1, Index: 2, Data: segment}})
+		d.LosePower(simdisk.Random)
+		if _, _, err := simFolder(d).Open(identity); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
