control: a damaged log is set aside, not removed

Cause: a host that could not read its folder emptied it at once. That is right only if others hold what it held, which one host can't know: in the incident four hosts emptied theirs within 0.3 s, and nothing was left to recover from. Setting a log aside is the replacement of that one file; a loss of power leaves either state. The host joins without a vote; the leader, who holds what was committed, decides that it replaces the old member. The log that was set aside is removed when the host is a member again: the quorum that admitted it holds all that was committed. Ruled out: moving the files (a name may be lost at both ends), copying them (a disk of 64 MB).

--- a/internal/adapter/disklog/disklog.go
+++ b/internal/adapter/disklog/disklog.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io/fs"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -84,6 +83,7 @@
 	maxIndex    map[string]uint64 // last index that a segment may hold, by segment path
 	segmentPath string            // current segment path
 	place       place             // of the next frame
+	generation  uint64            // of the segments and snapshots in use
 	hardState   consensus.HardState
 	failed      bool
 	buf         []byte
@@ -156,25 +156,12 @@
 // begin prepares a folder that was read for writing: a new segment, because the last one may end
 // in a torn frame. The segment repeats the entries that may not be durable where they were read.
 func (l *Log) begin(maybeUnsynced []consensus.Entry) error {
-	if err := l.writeBarrier(); err != nil {
+	if err := l.folder.writeBarrier(); err != nil {
 		return err
 	}
 	return l.rotate(maybeUnsynced)
 }
 
-// writeBarrier creates the file that keeps releases which know only format 1 from reading the
-// folder. The sync of the folder that follows the first segment makes it durable too.
-func (l *Log) writeBarrier() error {
-	f, err := l.fs.Create(l.folder.path(barrierName))
-	if errors.Is(err, fs.ErrExist) {
-		return nil
-	}
-	if err != nil {
-		return oops.Wrapf(err, "create %s", barrierName)
-	}
-	return errors.Join(f.Sync(), f.Close())
-}
-
 // Save implements port.Disk.
 func (l *Log) Save(entries []consensus.Entry, hs *consensus.HardState) error {
 	if l.failed {
@@ -229,7 +216,7 @@
 	}
 	l.place.segment++
 	l.place.offset = 0
-	l.segmentPath = l.folder.path(fmt.Sprintf("%016x%s", l.place.segment, segmentExt))
+	l.segmentPath = l.folder.path(l.folder.segmentName(l.place.segment, l.generation))
 	f, err := l.fs.Create(l.segmentPath)
 	if err != nil {
 		l.failed = true
@@ -261,7 +248,7 @@
 }
 
 func (l *Log) removeObsolete(index uint64) error {
-	segs, err := l.folder.segments()
+	segs, err := l.folder.segments(l.generation)
 	if err != nil {
 		return err
 	}
@@ -274,7 +261,7 @@
 		}
 		delete(l.maxIndex, name)
 	}
-	snaps, err := l.folder.list(snapshotExt)
+	snaps, err := l.folder.list(extension(snapshotExt, l.generation))
 	if err != nil {
 		return err
 	}
@@ -311,14 +298,14 @@
 	return out, nil
 }
 
-// segments returns the paths of all segments, oldest first.
-func (f Folder) segments() ([]string, error) {
-	old, err := f.list(segmentExt1)
-	if err != nil {
-		return nil, err
+// segments returns the paths of all segments of a generation, oldest first.
+func (f Folder) segments(generation uint64) ([]string, error) {
+	present, err := f.list(extension(segmentExt, generation))
+	if err != nil || generation > 0 {
+		return present, err
 	}
+	old, err := f.list(segmentExt1)
 	old = slices.DeleteFunc(old, func(path string) bool { return filepath.Base(path) == barrierName })
-	present, err := f.list(segmentExt)
 	return append(old, present...), err
 }
 
--- a/internal/adapter/disklog/disklog_test.go
+++ b/internal/adapter/disklog/disklog_test.go
@@ -142,8 +142,8 @@
 	}
 	is.True(errors.Is(err, ErrDamaged))
 
-	is.NoErr(Folder{Dir: dir}.Discard()) // the host may join again, as a new member
-	l, res, err := Folder{Dir: dir}.Open(func() Identity { return Identity{Node: 8, Group: "main"} })
+	is.NoErr(Folder{Dir: dir}.SetAside(Identity{Node: 8, Group: "main"})) // the host may join again, as a new member
+	l, res, err := Folder{Dir: dir}.Open(identity)
 	is.NoErr(err)
 	defer l.Close()
 	is.Equal(res.Identity.Node, consensus.NodeID(8))
--- a/internal/adapter/disklog/format1_test.go
+++ b/internal/adapter/disklog/format1_test.go
@@ -46,7 +46,7 @@
 func TestDamageInFormat1IsRefused(t *testing.T) {
 	is := is.New(t)
 	dir := format1Folder(t)
-	segs, err := Folder{Dir: dir}.segments()
+	segs, err := Folder{Dir: dir}.segments(0)
 	is.NoErr(err)
 	path := segs[0]
 	b, err := os.ReadFile(path)
@@ -60,7 +60,7 @@
 func TestMissingSegmentOfFormat1IsRefused(t *testing.T) {
 	is := is.New(t)
 	dir := format1Folder(t)
-	segs, err := Folder{Dir: dir}.segments()
+	segs, err := Folder{Dir: dir}.segments(0)
 	is.NoErr(err)
 	is.NoErr(os.Remove(segs[1]))
 	_, _, err = Folder{Dir: dir}.Open(identity)
--- a/internal/adapter/disklog/power_test.go
+++ b/internal/adapter/disklog/power_test.go
@@ -121,3 +121,43 @@
 		}
 	}
 }
+
+// Guards against a folder that loses its damaged log, or its identity alone, while it is set aside.
+func TestPowerLossWhileSettingAsideKeepsTheDamagedLog(t *testing.T) {
+	fresh := Identity{Node: 8, Group: "main"}
+	for seed := range uint64(600) {
+		d := simdisk.New(seed)
+		l := openSim(t, d, 0)
+		for i := uint64(1); i <= 3; i++ {
+			saveSim(t, l, entries(1, i, i), nil)
+		}
+		d.LosePower(simdisk.Nothing)
+		damagedSegment := l.segmentPath
+		d.Corrupt(damagedSegment, func(b []byte) []byte { b[100] ^= 0xff; return b })
+		for try := 0; ; try++ {
+			if try < 3 {
+				d.StopAfter(1 + int(seed+uint64(try)*7)%20)
+			}
+			l, res, err := simFolder(d).Open(identity)
+			if errors.Is(err, ErrDamaged) {
+				err = simFolder(d).SetAside(fresh)
+			}
+			if err == nil && l != nil {
+				if res.Identity != fresh || res.Snapshot.Index+uint64(len(res.Entries)) != 0 || res.HardState.Vote != consensus.None {
+					t.Fatalf("seed %d: opened %+v", seed, res)
+				}
+				break
+			}
+			if err != nil && !errors.Is(err, simdisk.ErrStopped) {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			d.LosePower(simdisk.Random)
+		}
+		if b, err := d.ReadFile(damagedSegment); err != nil || len(b) == 0 {
+			t.Fatalf("seed %d: the damaged log is gone: %v", seed, err)
+		}
+		if b, err := d.ReadFile("data/identity.json-0.damaged"); err != nil || len(b) == 0 {
+			t.Fatalf("seed %d: the old identity is gone: %v", seed, err)
+		}
+	}
+}
--- a/internal/adapter/disklog/recover.go
+++ b/internal/adapter/disklog/recover.go
@@ -5,70 +5,14 @@
 	"errors"
 	"fmt"
 	"io/fs"
-	"strings"
+	"path/filepath"
 
 	"github.com/samber/oops"
 
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
-	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/port"
 )
 
-// Identity names the member and group that a data folder belongs to. It is written
-// once. A host that lost its disk gets a new identity and joins as a new member:
-// under the old one it could vote twice in a term, because its votes are lost too.
-type Identity struct {
-	Node  consensus.NodeID `json:"node"`
-	Group ident.Group      `json:"group"`
-}
-
-const identityName = "identity.json"
-
-// storedIdentity is the content of the identity file.
-type storedIdentity struct {
-	Identity
-	Sum *uint32 `json:"sum,omitempty"` // checksum; nil if an earlier release wrote the file
-}
-
-func (id Identity) checksum() uint32 {
-	return place{node: id.Node}.checksum([]byte(id.Group))
-}
-
-func (l *Log) identity(makeIdentity func() Identity) (Identity, error) {
-	path := l.folder.path(identityName)
-	b, err := l.fs.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return l.newIdentity(path, makeIdentity())
-	}
-	if err != nil {
-		return Identity{}, oops.Wrapf(err, "read identity")
-	}
-	var id storedIdentity
-	err = json.Unmarshal(b, &id)
-	if err != nil || id.Node == consensus.None || id.Sum != nil && *id.Sum != id.checksum() {
-		return Identity{}, oops.Wrapf(ErrDamaged, "%s is damaged; %s", path, remedy)
-	}
-	return id.Identity, nil
-}
-
-// newIdentity writes the identity of an empty folder. A folder with log segments but
-// without an identity is damaged.
-func (l *Log) newIdentity(path string, id Identity) (Identity, error) {
-	segs, err := l.folder.segments()
-	if err != nil {
-		return Identity{}, err
-	}
-	if len(segs) > 0 {
-		return Identity{}, oops.Wrapf(ErrDamaged, "%s is missing but log segments exist; %s", path, remedy)
-	}
-	sum := id.checksum()
-	b, err := json.Marshal(storedIdentity{Identity: id, Sum: &sum})
-	if err != nil {
-		return Identity{}, oops.Wrapf(err, "encode identity")
-	}
-	return id, l.folder.replace(path, b)
-}
-
 // replace replaces a file atomically, by write, sync, rename and directory sync: a
 // crash leaves either the old or the new content.
 func (f Folder) replace(path string, b []byte) error {
@@ -100,7 +44,7 @@
 	if err != nil {
 		return oops.Wrapf(err, "encode snapshot")
 	}
-	path := l.folder.path(fmt.Sprintf("%016x%s", s.Index, snapshotExt))
+	path := l.folder.path(fmt.Sprintf("%016x%s", s.Index, extension(snapshotExt, l.generation)))
 	return l.folder.replace(path, appendChecksum(b))
 }
 
@@ -130,31 +74,15 @@
 	return s, nil
 }
 
-// Discard empties a data folder, so that the next Open creates a new identity.
-// Only a host that rejoins its group as a new member may call it: the entries that
-// the folder held no longer count towards a quorum.
-func (f Folder) Discard() error {
-	names, err := f.fs().List(f.Dir)
-	if err != nil {
-		return oops.Wrapf(err, "list data folder")
-	}
-	for _, name := range names {
-		if err := f.fs().Remove(f.path(name)); err != nil {
-			return oops.Wrapf(err, "empty data folder")
-		}
-	}
-	return f.sync()
-}
-
 // recover reads the identity, the newest snapshot and all segments of the folder. It changes
 // nothing that a later start reads.
 func (l *Log) recover(makeIdentity func() Identity) (*Restored, error) {
 	res := &Restored{}
-	var err error
-	if res.Identity, err = l.identity(makeIdentity); err != nil {
+	id, err := l.folder.identity(makeIdentity)
+	if err != nil {
 		return res, err
 	}
-	l.place.node = res.Identity.Node
+	res.Identity, l.generation, l.place.node = id.Identity, id.Generation, id.Node
 	if err := l.recoverSnapshot(res); err != nil {
 		return res, err
 	}
@@ -167,7 +95,7 @@
 
 // readSegments reads all segments into r.
 func (l *Log) readSegments(r *reader, res *Restored) error {
-	segs, err := l.folder.segments()
+	segs, err := l.folder.segments(l.generation)
 	if err != nil {
 		return err
 	}
@@ -190,7 +118,7 @@
 }
 
 func (l *Log) recoverSnapshot(res *Restored) error {
-	snaps, err := l.folder.list(snapshotExt)
+	snaps, err := l.folder.list(extension(snapshotExt, l.generation))
 	if err != nil || len(snaps) == 0 {
 		return err
 	}
@@ -218,7 +146,7 @@
 	if err != nil {
 		return oops.Wrapf(err, "read segment")
 	}
-	if strings.HasSuffix(path, segmentExt1) {
+	if filepath.Ext(path) == segmentExt1 {
 		return r.readSegment1(path, b)
 	}
 	r.place.segment = r.segment.Number
--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -88,7 +88,7 @@
 	}
 	disk, res, err := cfg.folder().Open(cfg.freshIdentity)
 	if errors.Is(err, disklog.ErrDamaged) && cfg.Seeds.used() {
-		disk, res, err = cfg.recreateDataFolder(res, err)
+		disk, res, err = cfg.setAsideDataFolder(res, err)
 	}
 	return disk, res, err
 }
@@ -148,6 +148,9 @@
 		ID: c.id, ElectionTicks: electionTicks, StartTicks: startTicks, HeartbeatTicks: voterHeartbeatTicks, ObserverTicks: observerHeartbeatTicks,
 		Rand: rand.IntN, HardState: res.HardState, Snapshot: res.Snapshot, Entries: res.Entries,
 	})
+	if log, ok := c.disk.(*disklog.Log); ok && log.HasSetAside() {
+		c.loop.setAside = log
+	}
 	c.hub.reset(ident.Index(res.Snapshot.Index))
 	c.peers.update(c.loop.node.Status().Membership)
 	c.cfg.Log.Info().Uint64("node", uint64(c.id)).Str("address", c.Addr()).Int("entries", len(res.Entries)).Uint64("snapshot", res.Snapshot.Index).Int("torn_bytes", res.TornBytes).
--- a/internal/app/control/group.go
+++ b/internal/app/control/group.go
@@ -66,19 +66,36 @@
 	return out
 }
 
-// recreateDataFolder empties a damaged data folder; the host joins as a new member.
-// This is automatic because no operator is expected to do it, and a group whose host
-// stays down cannot tolerate the next loss. The new identity is never a founding one:
-// the damaged folder may have voted under that.
-func (cfg Config) recreateDataFolder(read *disklog.Restored, cause error) (*disklog.Log, *disklog.Restored, error) {
-	cfg.Log.Error().Err(cause).Uint64("node", uint64(read.Identity.Node)).Uint64("term", read.HardState.Term).Uint64("commit", read.HardState.Commit).Stringers("segments", newestSegments(read.Segments)).Msg("data_folder_discarded")
-	if err := cfg.folder().Discard(); err != nil {
+// setAsideDataFolder sets a damaged log aside; the host joins as a new member without a vote.
+// Whether that member replaces the old one is decided by the group's leader, which holds what was
+// committed. If no leader is found because of the damage, the log that was set aside is what an
+// operator can still recover. The new identity is never a founding one: the host may have
+// voted under that.
+func (cfg Config) setAsideDataFolder(read *disklog.Restored, cause error) (*disklog.Log, *disklog.Restored, error) {
+	cfg.Seeds.Form = false
+	id := cfg.freshIdentity()
+	cfg.Log.Error().Err(cause).Uint64("node", uint64(read.Identity.Node)).Uint64("new_node", uint64(id.Node)).Uint64("term", read.HardState.Term).Uint64("commit", read.HardState.Commit).
+		Uint64("snapshot", read.Snapshot.Index).Stringers("segments", newestSegments(read.Segments)).Msg("data_folder_set_aside")
+	if err := cfg.folder().SetAside(id); err != nil {
 		return nil, nil, err
 	}
-	cfg.Seeds.Form = false
 	return cfg.folder().Open(cfg.freshIdentity)
 }
 
+// removeSetAside removes a log that was set aside once this host is a member again: the quorum
+// that admitted it holds all that was committed. It runs in the loop.
+func (l *loop) removeSetAside() {
+	if l.setAside == nil {
+		return
+	}
+	if _, member := l.node.Status().Membership.Find(l.id); !member {
+		return
+	}
+	err := l.setAside.RemoveSetAside()
+	l.setAside = nil
+	l.log.Info().Err(err).Msg("set_aside_log_removed")
+}
+
 // foundingMembership returns the first membership of the group, and whether this host is
 // one of its founders.
 func (c *Control) foundingMembership() (consensus.Membership, bool) {
--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -276,8 +276,25 @@
 	g.eventually("read back", func() bool { return g.version(0) == 7 })
 }
 
+// damageFolder flips a byte of a stopped host's log, before frames that were acknowledged.
+func (g *testGroup) damageFolder(i int) {
+	g.t.Helper()
+	segs, err := filepath.Glob(filepath.Join(g.dirs[i], "*.seg"))
+	if err != nil || len(segs) == 0 {
+		g.t.Fatal(segs, err)
+	}
+	b, err := os.ReadFile(segs[0])
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	b[len(b)/2] ^= 0xff
+	if err := os.WriteFile(segs[0], b, 0o600); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
 // Guards against a host that stays down with a damaged log until an operator empties it.
-func TestDamagedFolderIsEmptiedAndTheHostRejoins(t *testing.T) {
+func TestDamagedFolderIsSetAsideAndTheHostRejoins(t *testing.T) {
 	is := is.New(t)
 	g := newGroup(t, 4)
 	g.eventually("formed", func() bool { return g.complete(4) })
@@ -286,15 +303,46 @@
 	}
 	old := g.hosts[1].ID()
 	g.kill(1)
-	segs, err := filepath.Glob(filepath.Join(g.dirs[1], "*.log"))
-	is.NoErr(err)
-	b, err := os.ReadFile(segs[0])
-	is.NoErr(err)
-	b[len(b)/2] ^= 0xff
-	is.NoErr(os.WriteFile(segs[0], b, 0o600))
+	g.damageFolder(1)
 	g.start(1, true) // even if the settings still say that the group forms
 	is.True(g.hosts[1].ID() != old)
 	g.eventually("whole again", func() bool { return g.complete(4) })
+	g.eventually("the damaged log is removed", func() bool {
+		segs, _ := filepath.Glob(filepath.Join(g.dirs[1], "*.seg"))
+		return len(segs) == 0
+	})
+	g.kill(1)
+	again := g.hosts[2].ID()
+	g.start(1, false)
+	is.True(g.hosts[1].ID() != old && g.hosts[1].ID() != again)
+	g.eventually("whole after a restart", func() bool { return g.complete(4) })
+}
+
+// Guards against hosts that empty their folders although no other host holds what these held.
+func TestDamagedFoldersOfAllHostsAreKept(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 4)
+	g.eventually("formed", func() bool { return g.complete(4) })
+	g.deploy(0, 1)
+	for i := range g.hosts {
+		g.kill(i)
+		g.damageFolder(i)
+	}
+	for range 2 {
+		for i := range g.hosts {
+			g.start(i, false)
+		}
+		time.Sleep(time.Second)
+		for i := range g.hosts {
+			g.kill(i)
+			segs, err := filepath.Glob(filepath.Join(g.dirs[i], "*.seg"))
+			is.NoErr(err)
+			is.True(len(segs) > 0)
+			identities, err := filepath.Glob(filepath.Join(g.dirs[i], "identity.json-0.damaged"))
+			is.NoErr(err)
+			is.Equal(len(identities), 1)
+		}
+	}
 }
 
 // Guards against a host that permanently neither votes nor answers after a partition has
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/disklog"
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
@@ -85,6 +86,8 @@
 	roster        *roster.Roster // nil while not leading
 	rosterTerm    uint64
 	rosterChecked time.Time
+
+	setAside *disklog.Log // holds a log that was set aside; nil if there is none
 }
 
 // applyWait is a caller that waits until the state has reached index.
@@ -120,6 +123,7 @@
 			l.node.Tick()
 			l.duties.tick(time.Now(), l)
 			l.tickRoster(time.Now())
+			l.removeSetAside()
 		case <-l.stopped:
 			return
 		}
