--- /dev/null
+++ b/internal/app/control/model_test.go
@@ -0,0 +1,559 @@
+package control
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cassiapass/cassiapass/internal/adapter/disklog"
+	"github.com/cassiapass/cassiapass/internal/core/consensus"
+	"github.com/cassiapass/cassiapass/internal/core/contact"
+	"github.com/cassiapass/cassiapass/internal/core/roster"
+	"github.com/cassiapass/cassiapass/internal/fake/simdisk"
+)
+
+const (
+	modelCatchUp = 4 * time.Second  // after which the next disk may be lost
+	modelRecover = 12 * time.Second // within which all is served again after a loss of power
+	modelRounds  = 4                // deliveries of messages in a tick
+	modelCompact = 25               // entries between snapshots
+	modelPadding = 700              // bytes of a command
+)
+
+// modelHost is one control host: the consensus node, the roster, the address book and the log on
+// a simulated disk, without sockets and clocks.
+type modelHost struct {
+	addr     string
+	volatile bool
+	gone     bool
+	disk     *simdisk.Disk
+	log      *disklog.Log
+	node     *consensus.Node
+	id       consensus.NodeID
+	seeds    []string
+	book     *contact.Book
+	kept     []string // addresses in the data folder
+	roster   *roster.Roster
+	rosterIn uint64 // term of roster
+	inbox    []consensus.Message
+
+	frozenUntil time.Time
+	startAt     time.Time // when it starts again, if it is down
+	lostUntil   time.Time // until then no other disk may be lost
+	ledAt       time.Time // when it last had a leader
+	value       uint64    // of the newest command applied
+	sinceSnap   int
+}
+
+func (h *modelHost) up() bool { return h.node != nil }
+
+// model is one seeded run of a control group.
+type model struct {
+	r         *rand.Rand
+	cfg       roster.Config
+	now       time.Time
+	hosts     []*modelHost
+	next      int     // number of the next address
+	lossRate  float64 // of messages and greetings
+	lossUntil time.Time
+	proposed  uint64
+	acked     uint64
+	events    []string
+	err       error
+}
+
+func newModel(seed uint64, cfg roster.Config) *model {
+	m := &model{r: rand.New(rand.NewPCG(seed, 5)), cfg: cfg, now: time.Unix(1000, 0)}
+	volatile := m.r.IntN(4)
+	for i := range 4 + volatile {
+		m.hosts = append(m.hosts, m.newHost(i >= 4))
+	}
+	for i, h := range m.hosts {
+		h.seeds = m.seedAddrs()
+		m.start(h, i < 3)
+	}
+	return m
+}
+
+func (m *model) newHost(volatile bool) *modelHost {
+	m.next++
+	return &modelHost{addr: fmt.Sprint("a", m.next), volatile: volatile, disk: simdisk.New(m.r.Uint64()), lostUntil: m.now.Add(modelCatchUp)}
+}
+
+// seedAddrs returns the addresses of the first three hosts that are not gone.
+func (m *model) seedAddrs() []string {
+	var out []string
+	for _, h := range m.hosts {
+		if !h.gone && len(out) < 3 {
+			out = append(out, h.addr)
+		}
+	}
+	return out
+}
+
+func (m *model) log(format string, args ...any) {
+	m.events = append(m.events, fmt.Sprintf("%.2f ", m.now.Sub(time.Unix(1000, 0)).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (m *model) fail(format string, args ...any) {
+	if m.err == nil {
+		m.err = fmt.Errorf(format, args...)
+	}
+}
+
+// start starts a host's process. A founder derives its identity from its address.
+func (m *model) start(h *modelHost, founder bool) {
+	cfg := Config{Group: "main", Advertise: h.addr, DataDir: "data", FS: h.disk, Seeds: Seeds{Addrs: h.seeds, Form: founder, Volatile: h.volatile}}
+	fresh := func() disklog.Identity {
+		id := disklog.Identity{Node: consensus.NodeID(m.r.Uint64() | 1), Group: "main"}
+		if founder {
+			id.Node = foundingID("main", h.addr)
+		}
+		return id
+	}
+	res := &disklog.Restored{Identity: fresh()}
+	h.log = nil
+	if !h.volatile {
+		var err error
+		h.log, res, err = cfg.folder().Open(fresh)
+		if err != nil {
+			m.fail("%s does not open its folder: %v", h.addr, err)
+			return
+		}
+	}
+	if founder && res.Snapshot.Index == 0 {
+		var ms consensus.Membership
+		for _, a := range h.seeds {
+			ms = ms.With(consensus.Member{ID: foundingID("main", a), Addr: a, Voter: true})
+		}
+		res.Snapshot = consensus.Bootstrap(ms)
+		if err := h.log.SaveSnapshot(res.Snapshot); err != nil {
+			m.fail("%v", err)
+			return
+		}
+	}
+	h.id, h.value, h.sinceSnap, h.roster, h.inbox, h.ledAt = res.Identity.Node, modelValue(res.Snapshot.Data), 0, nil, nil, m.now
+	h.node = consensus.New(consensus.Config{
+		ID: h.id, ElectionTicks: electionTicks, StartTicks: startTicks, HeartbeatTicks: voterHeartbeatTicks, ObserverTicks: observerHeartbeatTicks,
+		Rand: m.r.IntN, HardState: res.HardState, Snapshot: res.Snapshot, Entries: res.Entries,
+	})
+	h.book = contact.New(m.now, contact.Contact{ID: h.id, Addr: h.addr}, h.seeds, h.kept)
+}
+
+func modelValue(data []byte) uint64 {
+	if len(data) < 8 {
+		return 0
+	}
+	return binary.BigEndian.Uint64(data)
+}
+
+func modelCommand(v uint64) []byte {
+	return append(binary.BigEndian.AppendUint64(nil, v), make([]byte, modelPadding)...)
+}
+
+// stop ends a host's process and starts it again later.
+func (m *model) stop(h *modelHost, down time.Duration) {
+	if h.up() && h.log != nil && m.r.IntN(2) == 0 {
+		h.disk.StopAfter(1 + m.r.IntN(4)) // in the middle of a write
+		m.turn(h)
+	}
+	h.node, h.startAt = nil, m.now.Add(down)
+	h.disk.Kill()
+	if !h.volatile {
+		h.lostUntil = h.startAt.Add(modelCatchUp)
+	}
+}
+
+// losePower ends a host's process with its machine.
+func (m *model) losePower(h *modelHost, down time.Duration) {
+	m.stop(h, down)
+	h.disk.LosePower(simdisk.Remains(m.r.IntN(3)))
+}
+
+// loseDisk restarts a host with an empty disk.
+func (m *model) loseDisk(h *modelHost, down time.Duration) {
+	m.stop(h, down)
+	h.disk, h.kept = simdisk.New(m.r.Uint64()), nil
+}
+
+// replace removes a host permanently; another one with an empty disk starts at a new address.
+func (m *model) replace(h *modelHost, after time.Duration) {
+	m.stop(h, after)
+	h.gone = true
+	h.startAt, h.lostUntil = m.now.Add(24*time.Hour), time.Time{}
+	succ := m.newHost(h.volatile)
+	succ.startAt = m.now.Add(after)
+	succ.lostUntil = succ.startAt.Add(modelCatchUp)
+	m.hosts = append(m.hosts, succ)
+	seeds := m.seedAddrs()
+	for _, x := range m.hosts {
+		x.seeds = seeds
+		if x.up() {
+			x.book.SetSeeds(seeds)
+		}
+	}
+}
+
+func (m *model) dropped() bool { return m.now.Before(m.lossUntil) && m.r.Float64() < m.lossRate }
+
+func (m *model) reachable(addr string) *modelHost {
+	for _, h := range m.hosts {
+		if h.up() && h.addr == addr && !m.now.Before(h.frozenUntil) {
+			return h
+		}
+	}
+	return nil
+}
+
+func (m *model) send(from *modelHost, msgs []consensus.Message) {
+	for _, msg := range msgs {
+		addr, met := from.book.AddrOf(msg.To)
+		if !met {
+			mem, _ := from.node.Status().Membership.Find(msg.To)
+			addr = mem.Addr
+		}
+		if to := m.reachable(addr); to != nil && to.id == msg.To && !m.dropped() {
+			to.inbox = append(to.inbox, msg)
+		}
+	}
+}
+
+// turn carries out a host's pending work, in the order of loop.handleReady.
+func (m *model) turn(h *modelHost) {
+	h.node.Flush()
+	for {
+		rd := h.node.Ready()
+		if rd.Empty() {
+			return
+		}
+		m.send(h, rd.Early)
+		if err := m.save(h, rd); err != nil {
+			if !errors.Is(err, simdisk.ErrStopped) {
+				m.fail("%v", err)
+			}
+			return
+		}
+		m.send(h, rd.Messages)
+		for _, e := range rd.Committed {
+			h.sinceSnap++
+			if e.Kind == consensus.EntryCommand {
+				h.value = modelValue(e.Data)
+				if h.node.IsLeader() {
+					m.acked = max(m.acked, h.value)
+				}
+			}
+		}
+		h.node.Advance(rd)
+		if err := m.compact(h); err != nil {
+			return
+		}
+	}
+}
+
+func (m *model) save(h *modelHost, rd consensus.Ready) error {
+	if rd.Snapshot != nil {
+		h.value = modelValue(rd.Snapshot.Data)
+	}
+	if h.log == nil {
+		return nil
+	}
+	if rd.Snapshot != nil {
+		if err := h.log.SaveSnapshot(*rd.Snapshot); err != nil {
+			return err
+		}
+	}
+	return h.log.Save(rd.Entries, rd.HardState)
+}
+
+func (m *model) compact(h *modelHost) error {
+	if h.sinceSnap < modelCompact {
+		return nil
+	}
+	h.sinceSnap = 0
+	st := h.node.Status()
+	s, ok := h.node.Compact(st.Applied, st.Membership, modelCommand(h.value))
+	if !ok || h.log == nil {
+		return nil
+	}
+	return h.log.SaveSnapshot(s)
+}
+
+// tick advances time by one tick of the control loop.
+func (m *model) tick() {
+	m.now = m.now.Add(tickInterval)
+	for _, h := range m.hosts {
+		if !h.up() && !h.gone && !m.now.Before(h.startAt) {
+			m.start(h, false)
+		}
+		if h.up() && !m.now.Before(h.frozenUntil) {
+			h.node.Tick()
+			m.tickRoster(h)
+			m.greet(h)
+			m.turn(h)
+		}
+	}
+	for range modelRounds {
+		for _, h := range m.hosts {
+			if !h.up() || len(h.inbox) == 0 || m.now.Before(h.frozenUntil) {
+				continue
+			}
+			msgs := h.inbox
+			h.inbox = nil
+			for _, msg := range msgs {
+				if h.roster != nil {
+					h.roster.RecordMessage(m.now, msg.From)
+				}
+				h.node.Step(msg)
+			}
+			m.turn(h)
+		}
+	}
+}
+
+// tickRoster does what loop.tickRoster does.
+func (m *model) tickRoster(h *modelHost) {
+	if !h.node.LeaderCaughtUp() {
+		h.roster = nil
+		return
+	}
+	if h.roster == nil || h.rosterIn != h.node.Term() {
+		h.roster, h.rosterIn = roster.New(m.cfg, m.now), h.node.Term()
+	}
+	if m.now.UnixMilli()%rosterInterval.Milliseconds() != 0 {
+		return
+	}
+	if ch, due := h.roster.Next(m.now, h.node.Status()); due {
+		_, err := h.node.ProposeMembership(ch.Member, ch.Remove)
+		m.log("%s proposes %s voter=%v remove=%v (%s): %v", h.addr, ch.Member.Addr, ch.Member.Voter, ch.Remove, ch.Reason, err)
+	}
+}
+
+// greet exchanges greetings with the addresses that are due, as Control.greetHosts does.
+func (m *model) greet(h *modelHost) {
+	if m.now.UnixMilli()%greetInterval.Milliseconds() != 0 {
+		return
+	}
+	st := h.node.Status()
+	if st.Leader != consensus.None {
+		h.ledAt = m.now
+	}
+	standing, silent := contact.Disconnected, []consensus.NodeID(nil)
+	_, member := st.Membership.Find(h.id)
+	switch {
+	case !member || st.Leader == consensus.None && m.now.Sub(h.ledAt) >= maxLeaderless:
+	case st.Leader != h.id || h.roster == nil:
+		standing = contact.Following
+	default:
+		standing, silent = contact.Leading, h.roster.Silent(m.now, silenceLimit, st)
+	}
+	h.book.SetMembers(st.Membership)
+	for _, addr := range h.book.NextGreetings(m.now, standing, silent) {
+		to := m.reachable(addr)
+		if to == nil || m.dropped() {
+			continue
+		}
+		to.book.RecordSeen(m.now, contact.Contact{ID: h.id, Addr: h.addr})
+		to.book.RecordReported(m.now, h.book.ToShare(m.now, standing))
+		h.book.RecordSeen(m.now, contact.Contact{ID: to.id, Addr: to.addr})
+		h.book.RecordReported(m.now, to.book.ToShare(m.now, contact.Following))
+		if standing == contact.Disconnected {
+			m.join(h, to)
+		}
+	}
+	if !h.volatile {
+		h.kept = h.book.Addrs()
+	}
+}
+
+// join passes a request to join on to the leader that another host follows.
+func (m *model) join(h, via *modelHost) {
+	lead := via.node.Leader()
+	for _, l := range m.hosts {
+		if l.up() && l.id == lead && l.roster != nil && !m.now.Before(l.frozenUntil) && !m.dropped() {
+			l.roster.Join(roster.Joiner{ID: h.id, Addr: h.addr, At: m.now, Volatile: h.volatile})
+		}
+	}
+}
+
+func (m *model) run(d time.Duration) {
+	for end := m.now.Add(d); m.now.Before(end) && m.err == nil; {
+		m.tick()
+		if m.r.IntN(8) == 0 {
+			m.propose()
+		}
+	}
+}
+
+func (m *model) propose() {
+	for _, h := range m.hosts {
+		if h.up() && h.node.LeaderCaughtUp() && !m.now.Before(h.frozenUntil) {
+			m.proposed++
+			_, _ = h.node.Propose(modelCommand(m.proposed))
+		}
+	}
+}
+
+// withDisk returns the hosts with a disk that are not gone.
+func (m *model) withDisk() []*modelHost {
+	return slices.DeleteFunc(slices.Clone(m.hosts), func(h *modelHost) bool { return h.gone || h.volatile })
+}
+
+// awaitLossAllowed runs until another disk may be lost.
+func (m *model) awaitLossAllowed() {
+	for m.err == nil && slices.ContainsFunc(m.withDisk(), func(h *modelHost) bool { return m.now.Before(h.lostUntil) }) {
+		m.run(tickInterval)
+	}
+}
+
+// down draws how long a process is down.
+func (m *model) down() time.Duration { return time.Duration(300+m.r.IntN(700)) * time.Millisecond }
+
+// loseOne loses one host with a disk in one of the ways that the pages allow.
+func (m *model) loseOne() {
+	disks := m.withDisk()
+	h := disks[m.r.IntN(len(disks))]
+	for _, x := range disks { // the leader more often
+		if x.up() && x.node.IsLeader() && m.r.IntN(2) == 0 {
+			h = x
+		}
+	}
+	switch m.r.IntN(5) {
+	case 0:
+		m.log("%s is killed", h.addr)
+		m.stop(h, m.down())
+	case 1:
+		m.log("%s loses its disk", h.addr)
+		m.loseDisk(h, m.down())
+	case 2:
+		d := time.Duration(500+m.r.IntN(4000)) * time.Millisecond
+		m.log("%s freezes for %v", h.addr, d)
+		h.frozenUntil, h.lostUntil = m.now.Add(d), m.now.Add(d+modelCatchUp)
+	default:
+		m.log("%s is gone for good", h.addr)
+		m.replace(h, m.down())
+	}
+}
+
+// loseNoDisk disturbs the group without a loss that counts.
+func (m *model) loseNoDisk() {
+	switch m.r.IntN(4) {
+	case 0:
+		m.log("all are killed")
+		for _, h := range m.hosts {
+			m.stop(h, m.down())
+		}
+	case 1:
+		m.log("all lose power")
+		for _, h := range m.hosts {
+			m.losePower(h, m.down())
+		}
+	case 2:
+		m.log("a tenth of the messages is lost")
+		m.lossRate, m.lossUntil = 0.1, m.now.Add(5*time.Second)
+	case 3:
+		for _, h := range m.hosts {
+			if h.volatile && m.r.IntN(2) == 0 {
+				m.stop(h, m.down())
+			}
+		}
+	}
+}
+
+// play runs a day that ends with the loss of one disk and of power everywhere.
+func (m *model) play() error {
+	m.run(3 * time.Second)
+	for range 1 + m.r.IntN(4) {
+		if m.r.IntN(2) == 0 {
+			m.loseNoDisk()
+			m.run(time.Duration(m.r.IntN(2000)) * time.Millisecond)
+		}
+		m.awaitLossAllowed()
+		m.loseOne()
+		m.run(time.Duration(m.r.IntN(3000)) * time.Millisecond)
+	}
+	m.awaitLossAllowed()
+	if m.r.IntN(3) == 0 {
+		m.run(time.Duration(m.r.IntN(2000)) * time.Millisecond)
+	}
+	return m.checkFinalLoss()
+}
+
+// checkFinalLoss loses a disk and all power and checks that what was acknowledged is back in time.
+func (m *model) checkFinalLoss() error {
+	disks := m.withDisk()
+	victim := disks[m.r.IntN(len(disks))]
+	before := m.describe()
+	m.log("%s loses its disk, all lose power, %d is acknowledged", victim.addr, m.acked)
+	for _, h := range m.hosts {
+		switch {
+		case h == victim:
+			m.loseDisk(h, m.down())
+		default:
+			m.losePower(h, m.down())
+		}
+	}
+	m.lossUntil = m.now
+	acked := m.acked
+	m.run(time.Second)
+	for end := m.now.Add(modelRecover); m.now.Before(end) && m.err == nil; m.run(tickInterval) {
+		for _, h := range m.hosts {
+			if h.up() && h.node.LeaderCaughtUp() && h.value >= acked {
+				return nil
+			}
+		}
+	}
+	if m.err != nil {
+		return m.err
+	}
+	return fmt.Errorf("%d is not read back within %v%s\nbefore:%s\nafter:%s", acked, modelRecover, "\n"+strings.Join(m.events, "\n"), before, m.describe())
+}
+
+func (m *model) describe() string {
+	var b strings.Builder
+	for _, h := range m.hosts {
+		if !h.up() {
+			continue
+		}
+		st := h.node.Status()
+		fmt.Fprintf(&b, "\n%s %d %v term %d value %d commit %d last %d:", h.addr, h.id%1000, st.Role, st.Term, h.value, st.Commit, st.LastIndex)
+		for _, mem := range st.Membership.Members {
+			if mem.Voter {
+				fmt.Fprintf(&b, " %s(%d)", mem.Addr, mem.ID%1000)
+			}
+		}
+	}
+	return b.String()
+}
+
+// modelSeeds is the number of seeds that a model plays, from CASSIAPASS_SEEDS if it is set.
+func modelSeeds(usual uint64) uint64 {
+	n, err := strconv.ParseUint(os.Getenv("CASSIAPASS_SEEDS"), 10, 32)
+	if err != nil {
+		return usual
+	}
+	return n
+}
+
+// Guards against a group that can't lose the next disk, with power everywhere, by the time at
+// which it may be lost.
+func TestDiskAndAllPowerLostAfterAnyRepair(t *testing.T) {
+	failed := 0
+	for seed := range modelSeeds(200) {
+		if err := newModel(seed, roster.DefaultConfig(1)).play(); err != nil {
+			failed++
+			if failed <= 3 {
+				t.Errorf("seed %d: %v", seed, err)
+			}
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d seeds", failed)
+	}
+}
