consensus: only voters are waited for, and only while they answer

Cause: before a change that adds a member, the member changed last must hold the log. That counted spares, which are in no quorum, and members that are gone for good: a spare that was lost within a second of its admission kept every other host out, also the one that should have got a vote, until it was removed after 30 s. A new leader knows of no member what it holds, so any voter that was added last and is gone blocked it. Change: the voter added last must hold the change that added it, unless it has not answered for one to two checks of the quorum. Adding spares and taking votes wait for nobody. The leader can't take its own vote.

--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -44,10 +44,11 @@
 	vote NodeID
 	lead NodeID
 
-	log        raftLog
-	membership Membership
-	lastChange uint64 // index of the newest membership entry applied or appended
-	lastAdded  NodeID // member that the newest change added or promoted
+	log         raftLog
+	membership  Membership
+	lastChange  uint64 // index of the newest membership entry applied or appended
+	lastAdded   NodeID // voter that was added last
+	lastAddedAt uint64 // index of the change that added it
 
 	elapsed    int // ticks since the last message of the leader or, at a leader, the last quorum check
 	heartbeat  int
@@ -323,13 +324,12 @@
 		return 0, ErrNotLeader
 	}
 	// With one change at a time, any majority before a change overlaps with any
-	// majority after it. The member changed last must also hold the log: otherwise
-	// two quick repairs could leave a quorum in which no member has the data if
-	// a second host is lost right after the first repair.
-	if n.lastChange > n.log.applied {
-		return 0, ErrChangePending
-	}
-	if p, ok := n.progress[n.lastAdded]; ok && n.lastAdded != n.id && !remove && p.match < n.lastChange {
+	// majority after it. Before the next voter is added, the last one must also hold
+	// the log: otherwise two quick repairs could leave a quorum in which no member has the data if
+	// a second host is lost right after the first repair. One that no longer answers
+	// may never hold it, and must itself be replaced.
+	p, ok := n.progress[n.lastAdded]
+	if ok && mem.Voter && !remove && n.lastAdded != n.id && p.match < n.lastAddedAt && !p.silent() {
 		return 0, ErrMemberBehind
 	}
 	next, err := n.membershipWith(mem, remove)
@@ -357,6 +357,9 @@
 		}
 		return n.membership.Without(mem.ID), nil
 	}
+	if old.Voter && !mem.Voter && mem.ID == n.id {
+		return Membership{}, ErrRemoveLeader
+	}
 	if mem.Voter && (mem.Volatile || old.Volatile) {
 		return Membership{}, ErrVolatile
 	}
@@ -379,11 +382,9 @@
 	err := json.Unmarshal(e.Data, &m)
 	invariant(err == nil, "membership entry cannot be decoded", e.Index, 0)
 	for _, mem := range m.Members {
-		if mem.Volatile {
-			continue // never part of a quorum, so no change has to wait for it
-		}
-		if old, ok := n.membership.Find(mem.ID); !ok || old.Voter != mem.Voter {
-			n.lastAdded = mem.ID
+		// A member without a vote is not part of a quorum, so no change has to wait for it.
+		if old, _ := n.membership.Find(mem.ID); mem.Voter && !old.Voter {
+			n.lastAdded, n.lastAddedAt = mem.ID, e.Index
 		}
 	}
 	n.membership = m
--- a/internal/core/consensus/progress.go
+++ b/internal/core/consensus/progress.go
@@ -13,6 +13,7 @@
 	snapshot uint64 // index of a snapshot under way, 0 if none
 	waited   int    // ticks spent waiting for an answer
 	active   bool   // has answered since the last check of the quorum
+	answered bool   // had answered when the quorum was last checked
 }
 
 // paused reports whether the leader must wait for an answer before sending
@@ -74,6 +75,9 @@
 	}
 }
 
+// silent reports whether the member has not answered for one to two checks of the quorum.
+func (p *progress) silent() bool { return !p.active && !p.answered }
+
 // quorumMatch returns the highest index that a majority of voters holds.
 func (n *Node) quorumMatch() uint64 {
 	var matches []uint64
@@ -105,7 +109,7 @@
 				active++
 			}
 		}
-		p.active = false
+		p.answered, p.active = p.active, false
 	}
 	return active > voters/2
 }
