consensus: the commit index is synced with a change of the membership

Cause: a member restarts with the membership at its stored commit index, and a commit index that moves alone is not synced. A voter's vote was taken, all had applied it; after a loss of power everywhere all counted it again. With one disk lost the two that were left were too few of four: no leader, for good, with every entry on both disks. Change: one more sync of the hard state when a change of the membership is committed. Test: TestCommittedMembershipSurvivesRestartOfAll, red before (no leader), green now.

--- a/internal/core/consensus/membership_test.go
+++ b/internal/core/consensus/membership_test.go
@@ -108,6 +108,22 @@
 	g.settle()
 }
 
+// Guards against members that all restart with a membership which still counts a voter whose vote
+// was taken: the change is in their logs, but not within their stored commit indexes.
+func TestCommittedMembershipSurvivesRestartOfAll(t *testing.T) {
+	g := newMemberGroup(t)
+	g.down[3] = true
+	g.leader()
+	g.change(consensus.Member{ID: 4, Voter: true}, false)
+	g.change(consensus.Member{ID: 3}, true)
+	// All lose power; member 2 its disk.
+	g.down[2] = true
+	for _, id := range []consensus.NodeID{1, 4, 5} {
+		g.restart(id)
+	}
+	g.leader() // 1 and 4 are a quorum of 1, 2 and 4
+}
+
 // Guards against a repair that waits for a member which was added last and is gone for good.
 func TestVoterIsAddedAlthoughTheLastOneIsGone(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -149,8 +149,9 @@
 	var rd Ready
 	hs := HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit}
 	// A change of the commit index alone is not synced: after a restart the
-	// leader sends it again. It is written whenever something else is synced.
-	if hs.Term != n.savedHard.Term || hs.Vote != n.savedHard.Vote || n.unstable <= n.log.lastIndex() {
+	// leader sends it again. It is written whenever something else is synced,
+	// and with a change of the membership.
+	if hs.Term != n.savedHard.Term || hs.Vote != n.savedHard.Vote || n.unstable <= n.log.lastIndex() || n.commitsMembership() {
 		rd.HardState = &hs
 		n.savedHard = hs
 	}
@@ -172,6 +173,18 @@
 	return rd
 }
 
+// commitsMembership reports whether the commit index covers a change of the membership that the
+// stored one does not. A member restarts with the membership at its stored commit index. If all
+// restart with one that still counts a removed voter, the voters that are left may be too few.
+func (n *Node) commitsMembership() bool {
+	for i := max(n.savedHard.Commit, n.log.snap.Index) + 1; i <= n.log.commit; i++ {
+		if n.log.entries[i-n.log.snap.Index-1].Kind == EntryMembership {
+			return true
+		}
+	}
+	return false
+}
+
 // Advance confirms that rd was carried out: its entries are synced and its
 // committed entries applied.
 func (n *Node) Advance(rd Ready) {
