roster: a vote moves within half of the time after which the next disk may be lost

What callers see: after a voter was gone for good and another disk was lost with power everywhere, nothing came back, although every entry was on two disks. Cause: 5 s of silence, a constant, counted anew from each change of leader, while the platform may lose the next disk catchUpS (4 s here) after a successor's start; and the spare voted before the silent voter lost its vote: with four voters of which one is dead all three others are needed, so one slow link stopped the repair halfway. Ruled out: an even shorter silence (a restart takes up to 2 s); a swap of two voters in one entry (old and new majorities need not overlap). Joint membership would need no more hosts than this order, and one step less. Change: the silence is half of catchUpS, between 1 and 5 s. A new leader counts its predecessor's silence from the last message that it got from it, and gives it half of that time to answer. The vote is taken first, if a spare can have it; both steps need the same two hosts. The voter stays a member and is a spare at once if it comes back. Promotions go before admissions. Tests: TestDiskAndAllPowerLostAfterAnyRepair; TestSilenceOfTheFormerLeaderCounts. TestSilentVoterIsReplacedBySpare replaces TestSilentVoterIsReplacedBySpareFirst, whose order was the fault; it checks besides that no vote is taken unless a spare answers and holds the log.

--- a/internal/app/control/group.go
+++ b/internal/app/control/group.go
@@ -138,6 +138,13 @@
 	return res, err
 }
 
+// recordLeader records a message that was received from this host's leader. It runs in the loop.
+func (l *loop) recordLeader(now time.Time, m consensus.Message) {
+	if lead := l.node.Leader(); lead != consensus.None && lead != l.id && m.From == lead {
+		l.former = roster.FormerLeader{ID: lead, LastSeen: now}
+	}
+}
+
 // tickRoster proposes the membership change that is due. It runs in the loop.
 func (l *loop) tickRoster(now time.Time) {
 	if !l.rosterUsed || now.Sub(l.rosterChecked) < rosterInterval {
@@ -149,7 +156,7 @@
 		return
 	}
 	if l.roster == nil || l.rosterTerm != l.node.Term() {
-		l.roster, l.rosterTerm = roster.New(l.rosterCfg, now), l.node.Term()
+		l.roster, l.rosterTerm = roster.New(l.rosterCfg, now, l.former), l.node.Term()
 	}
 	st := l.node.Status()
 	l.reportMoved(now, st.Membership)
--- a/internal/app/control/handlers.go
+++ b/internal/app/control/handlers.go
@@ -68,6 +68,7 @@
 			}
 			c.loop.watch.observeMessage(now, m)
 			c.loop.node.Step(m)
+			c.loop.recordLeader(now, m)
 		}
 	})
 	return nil
--- a/internal/app/control/large_test.go
+++ b/internal/app/control/large_test.go
@@ -45,7 +45,7 @@
 	}
 	g := unstartedGroup(t, hosts)
 	g.logLeadership()
-	g.roster = roster.DefaultConfig(2)
+	g.roster = roster.DefaultConfig(2, 0)
 	g.listen, g.addrs = g.addrs, nil
 	for i, r := range relays {
 		r.SetTarget(g.listen[i])
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -86,6 +86,7 @@
 	roster        *roster.Roster // nil while not leading
 	rosterTerm    uint64
 	rosterChecked time.Time
+	former        roster.FormerLeader
 
 	setAside *disklog.Log // holds a log that was set aside; nil if there is none
 }
--- a/internal/app/control/model_test.go
+++ b/internal/app/control/model_test.go
@@ -42,7 +42,8 @@
 	kept     []string // addresses in the data folder
 	roster   *roster.Roster
 	rosterIn uint64 // term of roster
-	inbox    []consensus.Message
+	former   roster.FormerLeader
+	inbox    []delivery
 
 	frozenUntil time.Time
 	startAt     time.Time // when it starts again, if it is down
@@ -54,15 +55,24 @@
 
 func (h *modelHost) up() bool { return h.node != nil }
 
+// delivery is a message on its way.
+type delivery struct {
+	at  time.Time
+	msg consensus.Message
+}
+
+// link is the way from one address to another.
+type link struct{ from, to string }
+
 // model is one seeded run of a control group.
 type model struct {
 	r         *rand.Rand
 	cfg       roster.Config
 	now       time.Time
 	hosts     []*modelHost
-	next      int     // number of the next address
-	lossRate  float64 // of messages and greetings
-	lossUntil time.Time
+	next      int                // number of the next address
+	lossUntil time.Time          // until then a tenth of the packets is lost
+	stalled   map[link]time.Time // until a lost packet has been sent again
 	proposed  uint64
 	acked     uint64
 	events    []string
@@ -70,7 +80,7 @@
 }
 
 func newModel(seed uint64, cfg roster.Config) *model {
-	m := &model{r: rand.New(rand.NewPCG(seed, 5)), cfg: cfg, now: time.Unix(1000, 0)}
+	m := &model{r: rand.New(rand.NewPCG(seed, 5)), cfg: cfg, now: time.Unix(1000, 0), stalled: map[link]time.Time{}}
 	volatile := m.r.IntN(4)
 	for i := range 4 + volatile {
 		m.hosts = append(m.hosts, m.newHost(i >= 4))
@@ -139,6 +149,7 @@
 			return
 		}
 	}
+	h.former = roster.FormerLeader{}
 	h.id, h.value, h.sinceSnap, h.roster, h.inbox, h.ledAt = res.Identity.Node, modelValue(res.Snapshot.Data), 0, nil, nil, m.now
 	h.node = consensus.New(consensus.Config{
 		ID: h.id, ElectionTicks: electionTicks, StartTicks: startTicks, HeartbeatTicks: voterHeartbeatTicks, ObserverTicks: observerHeartbeatTicks,
@@ -201,7 +212,28 @@
 	}
 }
 
-func (m *model) dropped() bool { return m.now.Before(m.lossUntil) && m.r.Float64() < m.lossRate }
+// lost reports whether a packet is lost.
+func (m *model) lost() bool {
+	const share = 0.1
+	return m.now.Before(m.lossUntil) && m.r.Float64() < share
+}
+
+// arrival returns when a message arrives. A lost packet holds up those behind it until it has been
+// sent again.
+func (m *model) arrival(l link) time.Time {
+	if m.lost() {
+		const retransmission = 200 * time.Millisecond
+		m.stalled[l] = later(m.now, m.stalled[l]).Add(retransmission)
+	}
+	return later(m.now, m.stalled[l])
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
 
 func (m *model) reachable(addr string) *modelHost {
 	for _, h := range m.hosts {
@@ -219,8 +251,8 @@
 			mem, _ := from.node.Status().Membership.Find(msg.To)
 			addr = mem.Addr
 		}
-		if to := m.reachable(addr); to != nil && to.id == msg.To && !m.dropped() {
-			to.inbox = append(to.inbox, msg)
+		if to := m.reachable(addr); to != nil && to.id == msg.To {
+			to.inbox = append(to.inbox, delivery{at: m.arrival(link{from.addr, addr}), msg: msg})
 		}
 	}
 }
@@ -304,19 +336,30 @@
 			if !h.up() || len(h.inbox) == 0 || m.now.Before(h.frozenUntil) {
 				continue
 			}
-			msgs := h.inbox
+			inbox := h.inbox
 			h.inbox = nil
-			for _, msg := range msgs {
-				if h.roster != nil {
-					h.roster.RecordMessage(m.now, msg.From)
+			for _, d := range inbox {
+				if d.at.After(m.now) {
+					h.inbox = append(h.inbox, d)
+					continue
 				}
-				h.node.Step(msg)
+				m.receive(h, d.msg)
 			}
 			m.turn(h)
 		}
 	}
 }
 
+func (m *model) receive(h *modelHost, msg consensus.Message) {
+	if h.roster != nil {
+		h.roster.RecordMessage(m.now, msg.From)
+	}
+	h.node.Step(msg)
+	if lead := h.node.Leader(); lead != consensus.None && lead != h.id && msg.From == lead {
+		h.former = roster.FormerLeader{ID: lead, LastSeen: m.now}
+	}
+}
+
 // tickRoster does what loop.tickRoster does.
 func (m *model) tickRoster(h *modelHost) {
 	if !h.node.LeaderCaughtUp() {
@@ -324,7 +367,7 @@
 		return
 	}
 	if h.roster == nil || h.rosterIn != h.node.Term() {
-		h.roster, h.rosterIn = roster.New(m.cfg, m.now), h.node.Term()
+		h.roster, h.rosterIn = roster.New(m.cfg, m.now, h.former), h.node.Term()
 	}
 	if m.now.UnixMilli()%rosterInterval.Milliseconds() != 0 {
 		return
@@ -356,7 +399,7 @@
 	h.book.SetMembers(st.Membership)
 	for _, addr := range h.book.NextGreetings(m.now, standing, silent) {
 		to := m.reachable(addr)
-		if to == nil || m.dropped() {
+		if to == nil || m.lost() {
 			continue
 		}
 		to.book.RecordSeen(m.now, contact.Contact{ID: h.id, Addr: h.addr})
@@ -376,7 +419,7 @@
 func (m *model) join(h, via *modelHost) {
 	lead := via.node.Leader()
 	for _, l := range m.hosts {
-		if l.up() && l.id == lead && l.roster != nil && !m.now.Before(l.frozenUntil) && !m.dropped() {
+		if l.up() && l.id == lead && l.roster != nil && !m.now.Before(l.frozenUntil) && !m.lost() {
 			l.roster.Join(roster.Joiner{ID: h.id, Addr: h.addr, At: m.now, Volatile: h.volatile})
 		}
 	}
@@ -455,8 +498,8 @@
 			m.losePower(h, m.down())
 		}
 	case 2:
-		m.log("a tenth of the messages is lost")
-		m.lossRate, m.lossUntil = 0.1, m.now.Add(5*time.Second)
+		m.log("a tenth of the packets is lost")
+		m.lossUntil = m.now.Add(5 * time.Second)
 	case 3:
 		for _, h := range m.hosts {
 			if h.volatile && m.r.IntN(2) == 0 {
@@ -546,7 +589,7 @@
 func TestDiskAndAllPowerLostAfterAnyRepair(t *testing.T) {
 	failed := 0
 	for seed := range modelSeeds(200) {
-		if err := newModel(seed, roster.DefaultConfig(1)).play(); err != nil {
+		if err := newModel(seed, roster.DefaultConfig(1, modelCatchUp)).play(); err != nil {
 			failed++
 			if failed <= 3 {
 				t.Errorf("seed %d: %v", seed, err)
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -3,6 +3,11 @@
 // disk is lost, and replaces silent voters by spares, which are non-voting
 // members that hold the log.
 //
+// No step bears less than the one before it. Of 2f+1 voters of which one is silent for
+// good, f-1 others may be lost. Once its vote is taken, f-1 of 2f may be, and f again once a
+// spare votes. With the spare first, all of 2f+2 but the silent one and f-1 others would
+// be needed for a quorum, one host more than before.
+//
 // It proposes one change at a time; package consensus refuses a change while an
 // earlier one is pending. Safety does not depend on this package: a wrong
 // assumption about a silent member costs availability, but never a committed
@@ -19,21 +24,34 @@
 type Config struct {
 	// Voters is the number of voting members: 2f+1 tolerate f simultaneous failures.
 	Voters int
-	// ReplaceAfter is the silence after which a spare replaces a voter. It is
-	// longer than a restart, so that a planned stop changes no membership.
+	// ReplaceAfter is the silence after which a spare replaces a voter. It is about
+	// as long as a restart; a host that takes longer comes back as a spare.
 	ReplaceAfter time.Duration
 	// RemoveAfter is the silence after which a non-voting member is removed. A
 	// host that returns later joins again.
 	RemoveAfter time.Duration
 }
 
+// DefaultCatchUp is the time after the loss of a host within which the group must bear the next
+// loss, where the deployment states none.
+const DefaultCatchUp = 4 * time.Second
+
+const (
+	// minReplaceAfter is longer than two heartbeats to a member without a vote.
+	minReplaceAfter = time.Second
+	maxReplaceAfter = 5 * time.Second
+)
+
 // DefaultConfig returns the Config of a group that tolerates the loss of f hosts, at
-// least one.
-func DefaultConfig(f int) Config {
+// least one, and of the next one once catchUp has passed, DefaultCatchUp if it is 0.
+func DefaultConfig(f int, catchUp time.Duration) Config {
+	if catchUp <= 0 {
+		catchUp = DefaultCatchUp
+	}
 	return Config{
 		Voters: 2*max(f, 1) + 1,
-		// A restarted process is back within about 2 s, a frozen host within 4 s.
-		ReplaceAfter: 5 * time.Second,
+		// The rest is for an election and the two changes of the membership.
+		ReplaceAfter: min(max(catchUp/2, minReplaceAfter), maxReplaceAfter),
 		// Twice the longest partition observed in practice runs of this size.
 		RemoveAfter: 30 * time.Second,
 	}
@@ -61,9 +79,20 @@
 	joiners   map[consensus.NodeID]Joiner
 }
 
+// FormerLeader is the leader that this host followed last, None if there was none, and when its
+// last message arrived. Of no other member does a follower know whether it is silent.
+type FormerLeader struct {
+	ID       consensus.NodeID
+	LastSeen time.Time
+}
+
 // New returns a Roster for a leader whose term begins now.
-func New(cfg Config, now time.Time) *Roster {
-	return &Roster{cfg: cfg, termStart: now, lastSeen: map[consensus.NodeID]time.Time{}, joiners: map[consensus.NodeID]Joiner{}}
+func New(cfg Config, now time.Time, former FormerLeader) *Roster {
+	r := &Roster{cfg: cfg, termStart: now, lastSeen: map[consensus.NodeID]time.Time{}, joiners: map[consensus.NodeID]Joiner{}}
+	if former.ID != consensus.None {
+		r.lastSeen[former.ID] = former.LastSeen
+	}
+	return r
 }
 
 // RecordMessage records a message from a member.
@@ -86,7 +115,7 @@
 func (r *Roster) Next(now time.Time, st consensus.Status) (Change, bool) {
 	const disk, volatile = false, true
 	for _, rule := range []func(time.Time, consensus.Status) (Change, bool){
-		r.updateAddr, r.removeReplaced(disk), r.removeExtraVoter, r.admit(disk), r.promote,
+		r.updateAddr, r.removeReplaced(disk), r.demoteSilentVoter, r.promote, r.admit(disk),
 		r.removeReplaced(volatile), r.admit(volatile), r.removeSilentSpare,
 	} {
 		if c, due := rule(now, st); due {
@@ -142,14 +171,17 @@
 	}
 }
 
-// removeExtraVoter removes a silent voter once a spare has taken its place.
-func (r *Roster) removeExtraVoter(now time.Time, st consensus.Status) (Change, bool) {
-	if st.Membership.Voters() <= r.cfg.Voters {
+// demoteSilentVoter takes the vote of a silent voter if a spare can take its place. The voter
+// stays a member: if it comes back, it is a spare at once.
+func (r *Roster) demoteSilentVoter(now time.Time, st consensus.Status) (Change, bool) {
+	voters := st.Membership.Voters()
+	if _, spare := r.readySpare(now, st); voters < r.cfg.Voters || voters == r.cfg.Voters && !spare {
 		return Change{}, false
 	}
 	for _, m := range st.Membership.Members {
-		if m.Voter && m.ID != st.ID && r.silence(now, m.ID) > r.cfg.ReplaceAfter {
-			return Change{Member: m, Remove: true, Reason: "silent, and a spare votes in its place"}, true
+		if m.Voter && m.ID != st.ID && r.voterSilent(now, m.ID) {
+			m.Voter = false
+			return Change{Member: m, Reason: "silent, and a spare can vote in its place"}, true
 		}
 	}
 	return Change{}, false
@@ -171,25 +203,24 @@
 	}
 }
 
-// promote makes a spare a voter if there are too few voters or a voter has been
-// silent for longer than ReplaceAfter. The spare must hold the log.
+// promote makes a spare a voter if there are too few voters.
 func (r *Roster) promote(now time.Time, st consensus.Status) (Change, bool) {
-	voters := st.Membership.Voters()
-	reason := "fewer voters than the group should have"
-	if voters >= r.cfg.Voters {
-		if voters > r.cfg.Voters || !r.anyVoterSilent(now, st) {
-			return Change{}, false
-		}
-		reason = "a voter is silent"
+	if st.Membership.Voters() >= r.cfg.Voters {
+		return Change{}, false
 	}
+	m, ok := r.readySpare(now, st)
+	m.Voter = true
+	return Change{Member: m, Reason: "fewer voters than the group should have"}, ok
+}
+
+// readySpare returns a member that can become a voter: it has a disk, answers and holds the log.
+func (r *Roster) readySpare(now time.Time, st consensus.Status) (consensus.Member, bool) {
 	for _, m := range st.Membership.Members {
-		if m.Voter || m.Volatile || r.silence(now, m.ID) > r.cfg.ReplaceAfter/2 || st.Match[m.ID] < st.Commit {
-			continue
+		if !m.Voter && !m.Volatile && r.silence(now, m.ID) <= r.cfg.ReplaceAfter/2 && st.Match[m.ID] >= st.Commit {
+			return m, true
 		}
-		m.Voter = true
-		return Change{Member: m, Reason: reason}, true
 	}
-	return Change{}, false
+	return consensus.Member{}, false
 }
 
 // removeSilentSpare removes a non-voting member that has been silent for longer than
@@ -203,17 +234,14 @@
 	return Change{}, false
 }
 
-func (r *Roster) anyVoterSilent(now time.Time, st consensus.Status) bool {
-	for _, m := range st.Membership.Members {
-		if m.Voter && m.ID != st.ID && r.silence(now, m.ID) > r.cfg.ReplaceAfter {
-			return true
-		}
-	}
-	return false
+// voterSilent reports whether a voter has been silent for longer than ReplaceAfter. A former
+// leader that lost its leadership only has half of that time to answer the new one.
+func (r *Roster) voterSilent(now time.Time, id consensus.NodeID) bool {
+	return r.silence(now, id) > r.cfg.ReplaceAfter && now.Sub(r.termStart) > r.cfg.ReplaceAfter/2
 }
 
 // silence returns the time since the last message from a member, or since the start of
-// the term if there has been none.
+// the term if none is known.
 func (r *Roster) silence(now time.Time, id consensus.NodeID) time.Duration {
 	at, ok := r.lastSeen[id]
 	if !ok {
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -30,7 +30,7 @@
 
 func TestHealthyGroupIsNotChanged(t *testing.T) {
 	is := is.New(t)
-	r := New(DefaultConfig(1), start)
+	r := New(DefaultConfig(1, 0), start, FormerLeader{})
 	now := start.Add(time.Minute)
 	r.RecordMessage(now, 2)
 	r.RecordMessage(now, 3)
@@ -43,7 +43,7 @@
 // lost although fewer disks failed than the group tolerates.
 func TestHostWithoutADiskJoinsButNeverVotes(t *testing.T) {
 	is := is.New(t)
-	r := New(DefaultConfig(1), start)
+	r := New(DefaultConfig(1, 0), start, FormerLeader{})
 	now := start.Add(time.Second)
 	r.Join(Joiner{ID: 9, Addr: "d", At: now, Volatile: true})
 	c, due := r.Next(now, statusOf(voter(1, "a"), voter(2, "b")))
@@ -58,7 +58,7 @@
 // a voter, which can never vote again, the group would tolerate no further failure.
 func TestLostDiskIsReplacedByItsNewIdentity(t *testing.T) {
 	is := is.New(t)
-	r := New(DefaultConfig(1), start)
+	r := New(DefaultConfig(1, 0), start, FormerLeader{})
 	now := start.Add(time.Second)
 	r.Join(Joiner{ID: 9, Addr: "b", At: now})
 	c, due := r.Next(now, statusOf(threeVoters()...))
@@ -80,11 +80,12 @@
 }
 
 // Voter 3 has failed permanently and spare 4 holds the log. Unless the spare becomes a
-// voter, the loss of a second host stops the group.
-func TestSilentVoterIsReplacedBySpareFirst(t *testing.T) {
+// voter, the loss of a second host stops the group. With the spare as a fourth voter, it
+// would stop if any one of the other three were slow.
+func TestSilentVoterIsReplacedBySpare(t *testing.T) {
 	is := is.New(t)
-	cfg := DefaultConfig(1)
-	r := New(cfg, start)
+	cfg := DefaultConfig(1, 0)
+	r := New(cfg, start, FormerLeader{})
 	st := statusOf(append(threeVoters(), consensus.Member{ID: 4, Addr: "d"})...)
 	now := start.Add(cfg.ReplaceAfter / 2)
 	r.RecordMessage(now, 2)
@@ -94,21 +95,48 @@
 
 	now = start.Add(cfg.ReplaceAfter + time.Second)
 	r.RecordMessage(now, 2)
+	_, due = r.Next(now, st)
+	is.True(!due) // the spare is silent too: nobody can take the vote
+
 	r.RecordMessage(now, 4)
+	st.Match[4] = 4
+	_, due = r.Next(now, st)
+	is.True(!due) // the spare does not hold the log yet
+
+	st.Match[4] = 10
 	c, due := r.Next(now, st)
-	is.True(due && c.Member.Voter)
-	is.Equal(c.Member.ID, consensus.NodeID(4))
+	is.True(due && !c.Remove)
+	is.Equal(c.Member, consensus.Member{ID: 3, Addr: "c"}) // it stays a member
 
 	st.Membership = st.Membership.With(c.Member)
 	c, due = r.Next(now, st)
-	is.True(due && c.Remove)
-	is.Equal(c.Member.ID, consensus.NodeID(3))
+	is.True(due && !c.Remove && c.Member.Voter)
+	is.Equal(c.Member.ID, consensus.NodeID(4))
+
+	st.Membership = st.Membership.With(c.Member)
+	_, due = r.Next(now, st)
+	is.True(!due)
+}
+
+// Guards against a silence that is counted anew from each change of leader.
+func TestSilenceOfTheFormerLeaderCounts(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig(1, 0)
+	r := New(cfg, start, FormerLeader{ID: 3, LastSeen: start.Add(-cfg.ReplaceAfter)})
+	st := statusOf(append(threeVoters(), consensus.Member{ID: 4, Addr: "d"})...)
+	for _, after := range []time.Duration{cfg.ReplaceAfter / 4, cfg.ReplaceAfter * 3 / 4} {
+		now := start.Add(after)
+		r.RecordMessage(now, 2)
+		r.RecordMessage(now, 4)
+		_, due := r.Next(now, st)
+		is.Equal(due, after > cfg.ReplaceAfter/2) // it has half of the time to answer the new leader
+	}
 }
 
 func TestSilentSpareIsRemovedAndOldJoinRequestsExpire(t *testing.T) {
 	is := is.New(t)
-	cfg := DefaultConfig(1)
-	r := New(cfg, start)
+	cfg := DefaultConfig(1, 0)
+	r := New(cfg, start, FormerLeader{})
 	r.Join(Joiner{ID: 9, Addr: "z", At: start})
 	now := start.Add(cfg.RemoveAfter + time.Second)
 	r.RecordMessage(now, 2)
@@ -123,7 +151,7 @@
 // vote would be replaced seconds late.
 func TestHostsWithADiskJoinFirst(t *testing.T) {
 	is := is.New(t)
-	r := New(DefaultConfig(1), start)
+	r := New(DefaultConfig(1, 0), start, FormerLeader{})
 	now := start.Add(time.Second)
 	ms := threeVoters()
 	for i := range 6 {
@@ -153,7 +181,7 @@
 // disk, which would remove both from the voters.
 func TestHostsThatSwappedAddressesKeepTheirIdentities(t *testing.T) {
 	is := is.New(t)
-	r := New(DefaultConfig(1), start)
+	r := New(DefaultConfig(1, 0), start, FormerLeader{})
 	now := start.Add(time.Second)
 	r.Join(Joiner{ID: 2, Addr: "c", At: now})
 	r.Join(Joiner{ID: 3, Addr: "b", At: now})
