control: what the group can lose is a figure, and why a host has no vote a line

Lacking so far: nothing told how many more disks could be lost, so neither the incident's end nor a vote that had not moved showed before everything was gone; afterwards no host told who was missing. No decision changes.

--- a/internal/app/control/group.go
+++ b/internal/app/control/group.go
@@ -151,6 +151,7 @@
 		return
 	}
 	l.rosterChecked = now
+	defer func() { l.observeHealth(now, l.node.Status()) }()
 	if !l.node.LeaderCaughtUp() {
 		l.roster = nil
 		return
--- a/internal/app/control/http.go
+++ b/internal/app/control/http.go
@@ -70,6 +70,7 @@
 	g.GET("/explain/:target", c.httpExplain)
 	g.GET("/status", func(x echo.Context) error { return x.JSON(http.StatusOK, c.ControlStatus()) })
 	g.POST("/members", c.httpMember)
+	g.GET("/group", c.ServeGroup)
 	g.GET("/quarantine", c.ServeQuarantine)
 	g.DELETE("/quarantine/:fingerprint", c.ServeLift)
 }
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -88,6 +88,11 @@
 	rosterChecked time.Time
 	former        roster.FormerLeader
 
+	volatile     bool
+	loggedVote   string
+	health       roster.Health // as last observed, while leading
+	healthLogged time.Time
+
 	setAside *disklog.Log // holds a log that was set aside; nil if there is none
 }
 
--- a/internal/app/control/metrics.go
+++ b/internal/app/control/metrics.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"sync/atomic"
+
 	vm "github.com/VictoriaMetrics/metrics"
 
 	"github.com/cassiapass/cassiapass/internal/adapter/opshttp"
@@ -17,8 +19,12 @@
 	planSeconds *vm.Summary
 	turnSeconds *vm.Summary // turns of the loop
 	waitSeconds *vm.Summary // waits of messages to other control hosts until they are written
+	losable     atomic.Int64
 }
 
+// unknownLosable is the number of disks that may be lost as shown by hosts that do not lead.
+const unknownLosable = -1
+
 func newMetrics(s *vm.Set, count *rpc.ByteCounter, status func() consensus.Status, subscribers func() int) *metrics {
 	if s == nil {
 		s = vm.NewSet()
@@ -32,6 +38,8 @@
 		turnSeconds: s.NewSummary("cassiapass_control_loop_turn_seconds"),
 		waitSeconds: s.NewSummary("cassiapass_control_message_wait_seconds"),
 	}
+	m.losable.Store(unknownLosable)
+	s.NewGauge("cassiapass_control_losable_disks", func() float64 { return float64(m.losable.Load()) })
 	s.NewGauge("cassiapass_control_subscribers", func() float64 { return float64(subscribers()) })
 	s.NewGauge("cassiapass_control_is_leader", func() float64 {
 		if status().Role == consensus.Leader {
--- a/internal/core/contact/book.go
+++ b/internal/core/contact/book.go
@@ -165,6 +165,15 @@
 	return addr, seen
 }
 
+// SeenAt returns the identity last seen at an address and when; None if none was seen.
+func (b *Book) SeenAt(addr string) (consensus.NodeID, time.Time) {
+	e, known := b.byAddr[addr]
+	if !known || !e.seen() {
+		return consensus.None, time.Time{}
+	}
+	return e.id, e.lastSeen
+}
+
 // ToShare returns the addresses to share with others: hosts seen within shareFor and, unless
 // this host is Disconnected and its log may be outdated, the members.
 func (b *Book) ToShare(now time.Time, s Standing) []string {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -77,6 +77,9 @@
 	termStart time.Time
 	lastSeen  map[consensus.NodeID]time.Time
 	joiners   map[consensus.NodeID]Joiner
+	// checkedCommit is the commit index at the last call of Next. A voter may lag behind the
+	// present one by what is under way.
+	checkedCommit uint64
 }
 
 // FormerLeader is the leader that this host followed last, None if there was none, and when its
@@ -114,6 +117,7 @@
 // never vote.
 func (r *Roster) Next(now time.Time, st consensus.Status) (Change, bool) {
 	const disk, volatile = false, true
+	r.checkedCommit = st.Commit
 	for _, rule := range []func(time.Time, consensus.Status) (Change, bool){
 		r.updateAddr, r.removeReplaced(disk), r.demoteSilentVoter, r.promote, r.admit(disk),
 		r.removeReplaced(volatile), r.admit(volatile), r.removeSilentSpare,
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -197,3 +197,24 @@
 	m, _ := st.Membership.Find(2)
 	is.Equal(m.Addr, "c")
 }
+
+func TestHealthTellsWhatMayBeLostAndWhyNot(t *testing.T) {
+	is := is.New(t)
+	r := New(DefaultConfig(1, 0), start, FormerLeader{})
+	now := start.Add(time.Minute)
+	r.RecordMessage(now, 2)
+	r.RecordMessage(now, 3)
+	st := statusOf(threeVoters()...)
+	r.Next(now, st)
+	is.Equal(r.Health(now, st), Health{Losable: 1, Wanted: 1})
+
+	st.Match[3] = 9 // committed before the last check
+	is.Equal(r.Health(now, st), Health{Wanted: 1, Causes: []string{"voter 3 at c holds the log up to 9 of 10"}})
+
+	r.RecordMessage(now.Add(3*time.Second), 3)
+	st.Match[3] = 10
+	is.Equal(r.Health(now.Add(3*time.Second), st), Health{Wanted: 1, Causes: []string{"voter 2 at b silent for 3.0 s"}})
+
+	st = statusOf(voter(1, "a"), voter(2, "b"))
+	is.Equal(r.Health(now, st), Health{Wanted: 1, Causes: []string{"2 of 3 voters: no other host with a disk holds the log"}})
+}
