ctl: folder lists the logs of a data folder and restores one that was set aside

For a group that has lost its quorum for good. Listing changes nothing. Restoring needs the index up to which the log can be read, writes a new generation beside the others and then the identity, which names the one in force; its term is far beyond any in which the lost part may hold a vote. It is refused if the log in force holds entries: the host is then part of a group that lives.

--- a/internal/adapter/disklog/generation.go
+++ b/internal/adapter/disklog/generation.go
@@ -52,22 +52,31 @@
 
 // identity reads the identity, or writes a new one to an empty folder.
 func (f Folder) identity(makeIdentity func() Identity) (storedIdentity, error) {
-	path := f.path(identityName)
-	b, err := f.fs().ReadFile(path)
+	id, err := f.readIdentity(identityName)
 	if errors.Is(err, fs.ErrNotExist) {
-		return f.newIdentity(path, makeIdentity)
+		return f.newIdentity(f.path(identityName), makeIdentity)
 	}
+	return id, err
+}
+
+func (f Folder) readIdentity(name string) (storedIdentity, error) {
+	b, err := f.fs().ReadFile(f.path(name))
 	if err != nil {
 		return storedIdentity{}, oops.Wrapf(err, "read identity")
 	}
 	var id storedIdentity
 	err = json.Unmarshal(b, &id)
 	if err != nil || id.Node == consensus.None || id.Sum != nil && *id.Sum != id.checksum() {
-		return storedIdentity{}, oops.Wrapf(ErrDamaged, "%s is damaged; %s", path, remedy)
+		return storedIdentity{}, oops.Wrapf(ErrDamaged, "%s is damaged; %s", f.path(name), remedy)
 	}
 	return id, nil
 }
 
+// setAsideName returns the name under which the identity of a generation is set aside.
+func setAsideName(generation uint64) string {
+	return identityName + generationMarker + strconv.FormatUint(generation, 10) + damagedExt
+}
+
 // newIdentity writes the identity of an empty folder. A folder with log segments but
 // without an identity is damaged.
 func (f Folder) newIdentity(path string, makeIdentity func() Identity) (storedIdentity, error) {
@@ -139,7 +148,7 @@
 		if json.Unmarshal(old, &stored) == nil {
 			newest = max(newest, stored.Generation)
 		}
-		err = f.replace(f.path(identityName+generationMarker+strconv.FormatUint(newest, 10)+damagedExt), old)
+		err = f.replace(f.path(setAsideName(newest)), old)
 	}
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return oops.Wrapf(err, "keep the identity of a damaged folder")
--- a/internal/adapter/disklog/recover.go
+++ b/internal/adapter/disklog/recover.go
@@ -83,14 +83,19 @@
 		return res, err
 	}
 	res.Identity, l.generation, l.place.node = id.Identity, id.Generation, id.Node
+	return res, l.readAll(res)
+}
+
+// readAll reads the newest snapshot and all segments of a generation, up to damage.
+func (l *Log) readAll(res *Restored) error {
 	if err := l.recoverSnapshot(res); err != nil {
-		return res, err
+		return err
 	}
 	r := &reader{fs: l.fs, snap: res.Snapshot, place: l.place}
-	err = l.readSegments(r, res)
+	err := l.readSegments(r, res)
 	res.HardState = r.hardState
 	res.Entries, res.newest = r.entriesAfterSnapshot(), r.newest
-	return res, err
+	return err
 }
 
 // readSegments reads all segments into r.
--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/disklog"
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
 	"github.com/cassiapass/cassiapass/internal/core/member"
 	"github.com/cassiapass/cassiapass/internal/core/placement"
@@ -345,6 +346,36 @@
 	}
 }
 
+// Guards against a group that an operator can't bring back although logs of its voters can be read.
+func TestRestoredLogsAreAQuorumAgain(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 4)
+	g.eventually("formed", func() bool { return g.complete(4) })
+	for v := range uint64(20) {
+		g.deploy(0, v+1)
+	}
+	for i := range g.hosts {
+		g.kill(i)
+		g.damageFolder(i)
+		g.start(i, false) // sets the log aside
+		g.kill(i)
+	}
+	for _, i := range []int{0, 1} {
+		folder := disklog.Folder{Dir: g.dirs[i]}
+		all, err := folder.Inspect()
+		is.NoErr(err)
+		is.True(all[0].Last() > 0)
+		is.NoErr(folder.Restore(0, all[0].Last()))
+	}
+	for i := range g.hosts {
+		g.start(i, false)
+	}
+	g.eventually("whole again", func() bool { return g.complete(4) })
+	is.True(g.version(0) > 0) // readable part
+	g.deploy(0, 100)
+	g.eventually("read back", func() bool { return g.version(3) == 100 })
+}
+
 // Guards against a host that permanently neither votes nor answers after a partition has
 // healed, although its process runs. Reads wait during the partition and are repeated every
 // 300 ms; when it heals, all of them are answered. The fault was that a second answer to one
--- a/internal/app/ctl/ctl.go
+++ b/internal/app/ctl/ctl.go
@@ -117,6 +117,7 @@
 		{"notices", "show the endpoints that asked for a pause or say that they leave", &noticesCmd{cli: c}},
 		{"paces", "show the endpoints by how long work takes there relative to their peers", &pacesCmd{cli: c}},
 		{"group", "show who votes, who is missing and how many more disks may be lost", &groupCmd{cli: c}},
+		{"folder", "list the logs in a stopped control host's data folder, or restore one that was set aside", &folderCmd{cli: c}},
 		{"status", "show control hosts, subscribers and when changes came into force", &statusCmd{cli: c}},
 		{"member", "add, promote or remove a control host, or hand leadership over", &memberCmd{cli: c}},
 		{"digest", "print the digest of a caller key read from standard input", &digestCmd{cli: c}},
