--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -21,6 +21,8 @@
 	"github.com/cassiapass/cassiapass/internal/core/placement"
 	"github.com/cassiapass/cassiapass/internal/core/roster"
 	"github.com/cassiapass/cassiapass/internal/core/state"
+	"github.com/cassiapass/cassiapass/internal/fake/simdisk"
+	"github.com/cassiapass/cassiapass/internal/port"
 )
 
 // waitLimit bounds waits; a working group ends them much sooner.
@@ -34,6 +36,8 @@
 	hosts []*Control // nil while down
 	seeds []string
 	disks []*faultyDisk
+	// simulated holds the file systems of the hosts; nil for the operating system's.
+	simulated []*simdisk.Disk
 	// volatile holds which hosts have no disk.
 	volatile map[int]bool
 	// listen holds the hosts' listen addresses where they differ from the advertised ones.
@@ -108,13 +112,17 @@
 	if g.listen != nil {
 		listen = g.listen[i]
 	}
+	var files port.FS
+	if g.simulated != nil {
+		dir, files = "data", g.simulated[i]
+	}
 	c, err := New(Config{
-		Host: "h", Group: "main", Listen: listen, Advertise: g.addrs[i], DataDir: dir,
+		FS: files, Host: "h", Group: "main", Listen: listen, Advertise: g.addrs[i], DataDir: dir,
 		Seeds:     Seeds{Addrs: g.seeds, Form: form, Volatile: g.volatile[i], Roster: g.roster},
 		Placement: placement.DefaultConfig(), Leases: member.DefaultConfig(), Log: g.log.With().Int("host", i).Logger(),
 		WrapDisk: g.disks[i].wrap,
 		Fatal: func(err error) {
-			if !errors.Is(err, errDiskFull) {
+			if !errors.Is(err, errDiskFull) && !errors.Is(err, simdisk.ErrStopped) {
 				g.t.Error(err)
 			}
 		},
