consensus: a spare is promoted between two of its answers

Cause: a promotion wants an answer since the last check of the quorum (each 0.4 s), while a spare gets a heartbeat each 0.5 s: it was refused with "the member changed last does not hold the log yet" up to five times in a row. Change: an answer since the check before suffices, as for the voter added last. Test: TestSpareIsPromotedBetweenTwoOfItsAnswers, red before.

--- a/internal/core/consensus/membership_test.go
+++ b/internal/core/consensus/membership_test.go
@@ -173,6 +173,23 @@
 	is.Equal(err, consensus.ErrMemberBehind)
 }
 
+// Guards against a promotion that is refused while the next answer of a spare, which gets few
+// heartbeats, is awaited.
+func TestSpareIsPromotedBetweenTwoOfItsAnswers(t *testing.T) {
+	is := is.New(t)
+	for phase := range 30 {
+		g := newMemberGroup(t)
+		for id, d := range g.disks {
+			d.ObserverTicks = d.ElectionTicks + 2
+			g.restart(id)
+		}
+		l := g.leader()
+		g.tick(phase)
+		_, err := l.ProposeMembership(consensus.Member{ID: 4, Voter: true}, false)
+		is.NoErr(err)
+	}
+}
+
 func TestLeaderDoesNotTakeItsOwnVote(t *testing.T) {
 	is := is.New(t)
 	g := newMemberGroup(t)
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -381,7 +381,7 @@
 		// cannot yet serve, so members join non-voting and are promoted
 		// once they have caught up.
 		p, ok := n.progress[mem.ID]
-		if !ok || !p.active || p.match+promoteSlack < n.log.commit {
+		if !ok || p.silent() || p.match+promoteSlack < n.log.commit {
 			return Membership{}, ErrMemberBehind
 		}
 	}
