control: membership changes follow each other each 0.1 s; the model loses two of seven disks too

With two disks to lose a vote is moved twice, four changes in a row. The interval only sets when the leader looks; a change still waits for the one before it.

--- a/internal/app/control/group.go
+++ b/internal/app/control/group.go
@@ -35,7 +35,7 @@
 func (s Seeds) used() bool { return len(s.Addrs) > 0 }
 
 // rosterInterval is the time between checks for a due membership change.
-const rosterInterval = 250 * time.Millisecond
+const rosterInterval = 100 * time.Millisecond
 
 // foundingID is the identity of a founding voter. Every founder derives the
 // same identities from the same list, so that all start from one membership without
--- a/internal/app/control/model_test.go
+++ b/internal/app/control/model_test.go
@@ -67,6 +67,7 @@
 // model is one seeded run of a control group.
 type model struct {
 	r         *rand.Rand
+	f         int // disks that may be lost at once
 	cfg       roster.Config
 	now       time.Time
 	hosts     []*modelHost
@@ -79,11 +80,11 @@
 	err       error
 }
 
-func newModel(seed uint64, cfg roster.Config) *model {
-	m := &model{r: rand.New(rand.NewPCG(seed, 5)), cfg: cfg, now: time.Unix(1000, 0), stalled: map[link]time.Time{}}
+func newModel(seed uint64, f, disks int) *model {
+	m := &model{r: rand.New(rand.NewPCG(seed, 5)), f: f, cfg: roster.DefaultConfig(f, modelCatchUp), now: time.Unix(1000, 0), stalled: map[link]time.Time{}}
 	volatile := m.r.IntN(4)
-	for i := range 4 + volatile {
-		m.hosts = append(m.hosts, m.newHost(i >= 4))
+	for i := range disks + volatile {
+		m.hosts = append(m.hosts, m.newHost(i >= disks))
 	}
 	for i, h := range m.hosts {
 		h.seeds = m.seedAddrs()
@@ -448,9 +449,25 @@
 	return slices.DeleteFunc(slices.Clone(m.hosts), func(h *modelHost) bool { return h.gone || h.volatile })
 }
 
-// awaitLossAllowed runs until another disk may be lost.
-func (m *model) awaitLossAllowed() {
-	for m.err == nil && slices.ContainsFunc(m.withDisk(), func(h *modelHost) bool { return m.now.Before(h.lostUntil) }) {
+// losable returns the hosts with a disk that may be lost, and how many of them.
+func (m *model) losable() (hosts []*modelHost, n int) {
+	n = m.f
+	for _, h := range m.withDisk() {
+		if m.now.Before(h.lostUntil) {
+			n--
+			continue
+		}
+		hosts = append(hosts, h)
+	}
+	return hosts, n
+}
+
+// awaitLossAllowed runs until another disk may be lost and returns what losable does.
+func (m *model) awaitLossAllowed() (hosts []*modelHost, n int) {
+	for {
+		if hosts, n = m.losable(); n > 0 || m.err != nil {
+			return hosts, n
+		}
 		m.run(tickInterval)
 	}
 }
@@ -460,7 +477,10 @@
 
 // loseOne loses one host with a disk in one of the ways that the pages allow.
 func (m *model) loseOne() {
-	disks := m.withDisk()
+	disks, _ := m.awaitLossAllowed()
+	if m.err != nil {
+		return
+	}
 	h := disks[m.r.IntN(len(disks))]
 	for _, x := range disks { // the leader more often
 		if x.up() && x.node.IsLeader() && m.r.IntN(2) == 0 {
@@ -517,7 +537,6 @@
 			m.loseNoDisk()
 			m.run(time.Duration(m.r.IntN(2000)) * time.Millisecond)
 		}
-		m.awaitLossAllowed()
 		m.loseOne()
 		m.run(time.Duration(m.r.IntN(3000)) * time.Millisecond)
 	}
@@ -530,17 +549,17 @@
 
 // checkFinalLoss loses a disk and all power and checks that what was acknowledged is back in time.
 func (m *model) checkFinalLoss() error {
-	disks := m.withDisk()
-	victim := disks[m.r.IntN(len(disks))]
+	disks, n := m.awaitLossAllowed()
+	m.r.Shuffle(len(disks), func(i, j int) { disks[i], disks[j] = disks[j], disks[i] })
+	victims := disks[:min(n, len(disks))]
 	before := m.describe()
-	m.log("%s loses its disk, all lose power, %d is acknowledged", victim.addr, m.acked)
 	for _, h := range m.hosts {
-		switch {
-		case h == victim:
+		if slices.Contains(victims, h) {
+			m.log("%s loses its disk, all lose power, %d is acknowledged", h.addr, m.acked)
 			m.loseDisk(h, m.down())
-		default:
-			m.losePower(h, m.down())
+			continue
 		}
+		m.losePower(h, m.down())
 	}
 	m.lossUntil = m.now
 	acked := m.acked
@@ -587,16 +606,21 @@
 // Guards against a group that can't lose the next disk, with power everywhere, by the time at
 // which it may be lost.
 func TestDiskAndAllPowerLostAfterAnyRepair(t *testing.T) {
-	failed := 0
-	for seed := range modelSeeds(200) {
-		if err := newModel(seed, roster.DefaultConfig(1, modelCatchUp)).play(); err != nil {
-			failed++
-			if failed <= 3 {
-				t.Errorf("seed %d: %v", seed, err)
+	for _, size := range []struct{ f, disks int }{{1, 4}, {1, 9}, {2, 7}} {
+		t.Run(fmt.Sprintf("%d of %d", size.f, size.disks), func(t *testing.T) {
+			t.Parallel()
+			failed := 0
+			for seed := range modelSeeds(150) {
+				if err := newModel(seed, size.f, size.disks).play(); err != nil {
+					failed++
+					if failed <= 3 {
+						t.Errorf("seed %d: %v", seed, err)
+					}
+				}
 			}
-		}
-	}
-	if failed > 0 {
-		t.Errorf("%d seeds", failed)
+			if failed > 0 {
+				t.Errorf("%d seeds", failed)
+			}
+		})
 	}
 }
