--- a/internal/adapter/disklog/disklog.go
+++ b/internal/adapter/disklog/disklog.go
@@ -189,7 +189,7 @@
 // write appends one frame to the segment and syncs it. After any failure the log accepts no
 // more writes.
 func (l *Log) write(b batch) error {
-	l.buf = appendFrame(l.buf[:0], l.place, b.encode())
+	l.buf = appendFrame(l.buf[:0], l.place, b)
 	if _, err := l.current.Write(l.buf); err != nil {
 		l.failed = true
 		return oops.With("file", l.segmentPath).Wrapf(err, "write log")
--- a/internal/adapter/disklog/frame.go
+++ b/internal/adapter/disklog/frame.go
@@ -43,11 +43,15 @@
 }
 
 // appendFrame appends one frame at its place to buf.
-func appendFrame(buf []byte, p place, payload []byte) []byte {
+func appendFrame(buf []byte, p place, b batch) []byte {
+	start := len(buf)
 	buf = append(buf, magicBytes...)
-	buf = binary.BigEndian.AppendUint32(buf, uint32(len(payload)))
-	buf = binary.BigEndian.AppendUint32(buf, p.checksum(payload))
-	return append(buf, payload...)
+	buf = append(buf, make([]byte, frameHeader-len(magicBytes))...)
+	buf = b.appendTo(buf)
+	payload := buf[start+frameHeader:]
+	binary.BigEndian.PutUint32(buf[start+4:], uint32(len(payload)))
+	binary.BigEndian.PutUint32(buf[start+8:], p.checksum(payload))
+	return buf
 }
 
 // frameAt returns the payload and size of the frame at place p, which b starts with. ok is false
@@ -102,14 +106,9 @@
 	entries   []consensus.Entry
 }
 
-// encode encodes the kind, the last index, whether there is a hard state, the hard state, and
+// appendTo appends the kind, the last index, whether there is a hard state, the hard state, and
 // the entries.
-func (b batch) encode() []byte {
-	size := frameHeader + entryHeader
-	for _, e := range b.entries {
-		size += entryHeader + len(e.Data)
-	}
-	out := make([]byte, 0, size)
+func (b batch) appendTo(out []byte) []byte {
 	out = append(out, byte(b.kind))
 	out = binary.BigEndian.AppendUint64(out, b.last)
 	if b.hardState == nil {
@@ -149,6 +148,7 @@
 		b.hardState = &consensus.HardState{Term: binary.BigEndian.Uint64(p), Vote: consensus.NodeID(binary.BigEndian.Uint64(p[8:])), Commit: binary.BigEndian.Uint64(p[16:])}
 		p = p[hardStateSize:]
 	}
+	b.entries = make([]consensus.Entry, 0, countEntries(p))
 	for len(p) > 0 {
 		e, rest, err := decodeEntry(p)
 		if err != nil {
@@ -159,6 +159,20 @@
 	return b, nil
 }
 
+// countEntries returns the number of complete entries in p.
+func countEntries(p []byte) int {
+	n := 0
+	for len(p) >= entryHeader {
+		size := entryHeader + int64(binary.BigEndian.Uint32(p[entryHeader-4:]))
+		if int64(len(p)) < size {
+			break
+		}
+		p = p[size:]
+		n++
+	}
+	return n
+}
+
 // decodeEntry decodes the entry that p starts with and returns the rest.
 func decodeEntry(p []byte) (consensus.Entry, []byte, error) {
 	if len(p) < entryHeader {
