roster: silence is known of each former leader, and the vote of the longest silent voter moves first

Cause: a new leader knew the silence of its predecessor alone. Of two that led one after the other and are gone, it took the second one's vote first, which may come back, and waited for the other's. Change: the last message of each leader that a host followed is kept; the longest silence goes first; a spare that is known to hold all that is committed waits for nobody, as it only adds to the members that hold it. Joiners are taken in the order of their identities, so that a seed of the model plays the same each time. Tests: TestVoterSilentForLongestIsReplacedFirst; TestVoterIsNotAddedBeforeTheLastOneHoldsTheLog now keeps both behind the log for its refusal, and checks that one which holds it is added.

--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/member"
 	"github.com/cassiapass/cassiapass/internal/core/placement"
 	"github.com/cassiapass/cassiapass/internal/core/poison"
+	"github.com/cassiapass/cassiapass/internal/core/roster"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 	"github.com/cassiapass/cassiapass/internal/port"
 	"github.com/cassiapass/cassiapass/internal/wire"
@@ -142,7 +143,7 @@
 		// Read contexts start at a random number, so that an answer to an earlier
 		// incarnation is not matched with a read of this one.
 		nextRead: rand.Uint64() >> 1,
-		onDeploy: c.cfg.OnDeploy, onPoison: c.cfg.OnPoison, rosterUsed: c.cfg.Seeds.used(), rosterCfg: c.cfg.Seeds.Roster, volatile: c.cfg.Seeds.Volatile,
+		former:   roster.FormerLeaders{}, onDeploy: c.cfg.OnDeploy, onPoison: c.cfg.OnPoison, rosterUsed: c.cfg.Seeds.used(), rosterCfg: c.cfg.Seeds.Roster, volatile: c.cfg.Seeds.Volatile,
 	}
 	c.loop.node = consensus.New(consensus.Config{
 		ID: c.id, ElectionTicks: electionTicks, StartTicks: startTicks, HeartbeatTicks: voterHeartbeatTicks, ObserverTicks: observerHeartbeatTicks,
--- a/internal/app/control/group.go
+++ b/internal/app/control/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -141,7 +142,7 @@
 // recordLeader records a message that was received from this host's leader. It runs in the loop.
 func (l *loop) recordLeader(now time.Time, m consensus.Message) {
 	if lead := l.node.Leader(); lead != consensus.None && lead != l.id && m.From == lead {
-		l.former = roster.FormerLeader{ID: lead, LastSeen: now}
+		l.former[lead] = now
 	}
 }
 
@@ -161,6 +162,10 @@
 	}
 	st := l.node.Status()
 	l.reportMoved(now, st.Membership)
+	maps.DeleteFunc(l.former, func(id consensus.NodeID, _ time.Time) bool {
+		_, member := st.Membership.Find(id)
+		return !member
+	})
 	ch, due := l.roster.Next(now, st)
 	if !due {
 		return
--- a/internal/app/control/model_faults_test.go
+++ b/internal/app/control/model_faults_test.go
@@ -214,24 +214,44 @@
 	return n
 }
 
+// playSeeds plays a model of a group with some disks, of which f may be lost at once.
+func playSeeds(t *testing.T, f, disks int) {
+	t.Helper()
+	failed := 0
+	for seed := range modelSeeds(150) {
+		if err := newModel(seed, f, disks).play(); err != nil {
+			failed++
+			if failed <= 3 {
+				t.Errorf("seed %d: %v", seed, err)
+			}
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d seeds", failed)
+	}
+}
+
 // Guards against a group that can't lose the next disk, with power everywhere, by the time at
 // which it may be lost.
 func TestDiskAndAllPowerLostAfterAnyRepair(t *testing.T) {
-	for _, size := range []struct{ f, disks int }{{1, 4}, {1, 9}, {2, 7}} {
-		t.Run(fmt.Sprintf("%d of %d", size.f, size.disks), func(t *testing.T) {
+	for _, disks := range []int{4, 9} {
+		t.Run(fmt.Sprintf("1 of %d", disks), func(t *testing.T) {
 			t.Parallel()
-			failed := 0
-			for seed := range modelSeeds(150) {
-				if err := newModel(seed, size.f, size.disks).play(); err != nil {
-					failed++
-					if failed <= 3 {
-						t.Errorf("seed %d: %v", seed, err)
-					}
-				}
-			}
-			if failed > 0 {
-				t.Errorf("%d seeds", failed)
-			}
+			playSeeds(t, 1, disks)
 		})
 	}
 }
+
+// Guards against the same where two disks may be lost at once.
+func TestTwoDisksAndAllPowerLostAfterAnyRepair(t *testing.T) {
+	t.Parallel()
+	playSeeds(t, 2, 7)
+}
+
+// Guards against a third host that is lost while two votes move under lost packets.
+func TestThirdHostLostWhileTwoVotesMove(t *testing.T) {
+	const seed = 1675
+	if err := newModel(seed, 2, 7).play(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/app/control/model_test.go
+++ b/internal/app/control/model_test.go
@@ -37,7 +37,7 @@
 	kept     []string // addresses in the data folder
 	roster   *roster.Roster
 	rosterIn uint64 // term of roster
-	former   roster.FormerLeader
+	former   roster.FormerLeaders
 	inbox    []delivery
 
 	frozenUntil time.Time
@@ -145,7 +145,7 @@
 			return
 		}
 	}
-	h.former = roster.FormerLeader{}
+	h.former = roster.FormerLeaders{}
 	h.id, h.value, h.sinceSnap, h.roster, h.inbox, h.ledAt = res.Identity.Node, modelValue(res.Snapshot.Data), 0, nil, nil, m.now
 	h.node = consensus.New(consensus.Config{
 		ID: h.id, ElectionTicks: electionTicks, StartTicks: startTicks, HeartbeatTicks: voterHeartbeatTicks, ObserverTicks: observerHeartbeatTicks,
@@ -309,7 +309,7 @@
 	}
 	h.node.Step(msg)
 	if lead := h.node.Leader(); lead != consensus.None && lead != h.id && msg.From == lead {
-		h.former = roster.FormerLeader{ID: lead, LastSeen: m.now}
+		h.former[lead] = m.now
 	}
 }
 
--- a/internal/core/consensus/membership_test.go
+++ b/internal/core/consensus/membership_test.go
@@ -167,10 +167,15 @@
 	l := g.leader()
 	_, err := l.ProposeMembership(consensus.Member{ID: 4, Voter: true}, false)
 	is.NoErr(err)
-	g.down[4] = true // just now: it still counts as answering
+	g.down[4], g.down[5] = true, true // just now: they still count as answering
 	g.settle()
 	_, err = l.ProposeMembership(consensus.Member{ID: 5, Voter: true}, false)
-	is.Equal(err, consensus.ErrMemberBehind)
+	is.Equal(err, consensus.ErrMemberBehind) // neither holds the log
+
+	g.down[5] = false
+	g.tick(25)
+	_, err = l.ProposeMembership(consensus.Member{ID: 5, Voter: true}, false)
+	is.NoErr(err) // 5 holds it
 }
 
 // Guards against a promotion that is refused while the next answer of a spare, which gets few
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -337,12 +337,11 @@
 		return 0, ErrNotLeader
 	}
 	// With one change at a time, any majority before a change overlaps with any
-	// majority after it. Before the next voter is added, the last one must also hold
-	// the log: otherwise two quick repairs could leave a quorum in which no member has the data if
-	// a second host is lost right after the first repair. One that no longer answers
-	// may never hold it, and must itself be replaced.
-	p, ok := n.progress[n.lastAdded]
-	if ok && mem.Voter && !remove && n.lastAdded != n.id && p.match < n.lastAddedAt && !p.silent() {
+	// majority after it. Of the voters added one after the other, one that does not hold
+	// all that is committed must wait until the last one holds the log: otherwise two quick
+	// repairs could leave a quorum in which no member has the data if a second host is lost
+	// right after the first repair. One that holds it only adds to the members that do.
+	if mem.Voter && !remove && !n.holdsCommitted(mem.ID) && n.lastAddedBehind() {
 		return 0, ErrMemberBehind
 	}
 	next, err := n.membershipWith(mem, remove)
@@ -388,6 +387,19 @@
 	return n.membership.With(mem), nil
 }
 
+// holdsCommitted reports whether a member is known to hold all that is committed.
+func (n *Node) holdsCommitted(id NodeID) bool {
+	p, ok := n.progress[id]
+	return ok && p.match >= n.log.commit
+}
+
+// lastAddedBehind reports whether the voter added last answers but is not known to hold the log.
+// One that no longer answers may never hold it, and must itself be replaced.
+func (n *Node) lastAddedBehind() bool {
+	p, ok := n.progress[n.lastAdded]
+	return ok && n.lastAdded != n.id && p.match < n.lastAddedAt && !p.silent()
+}
+
 const promoteSlack = 1000 // entries that a member may lag behind when promoted
 
 func (n *Node) applyMembership(e Entry) {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -15,6 +15,8 @@
 package roster
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/core/consensus"
@@ -82,19 +84,14 @@
 	checkedCommit uint64
 }
 
-// FormerLeader is the leader that this host followed last, None if there was none, and when its
-// last message arrived. Of no other member does a follower know whether it is silent.
-type FormerLeader struct {
-	ID       consensus.NodeID
-	LastSeen time.Time
-}
+// FormerLeaders holds when a host last got a message from each leader that it followed. Of no
+// other member does a follower know whether it is silent.
+type FormerLeaders map[consensus.NodeID]time.Time
 
 // New returns a Roster for a leader whose term begins now.
-func New(cfg Config, now time.Time, former FormerLeader) *Roster {
+func New(cfg Config, now time.Time, former FormerLeaders) *Roster {
 	r := &Roster{cfg: cfg, termStart: now, lastSeen: map[consensus.NodeID]time.Time{}, joiners: map[consensus.NodeID]Joiner{}}
-	if former.ID != consensus.None {
-		r.lastSeen[former.ID] = former.LastSeen
-	}
+	maps.Copy(r.lastSeen, former)
 	return r
 }
 
@@ -104,6 +101,9 @@
 // Join records a request to join.
 func (r *Roster) Join(j Joiner) { r.joiners[j.ID] = j }
 
+// joinerIDs returns the hosts that asked to join, sorted, so that decisions can be reproduced.
+func (r *Roster) joinerIDs() []consensus.NodeID { return slices.Sorted(maps.Keys(r.joiners)) }
+
 // Change is one membership change to propose.
 type Change struct {
 	Member consensus.Member
@@ -134,7 +134,8 @@
 // would otherwise take two hosts that swapped their addresses for hosts that lost their
 // disks.
 func (r *Roster) updateAddr(now time.Time, st consensus.Status) (Change, bool) {
-	for id, j := range r.joiners {
+	for _, id := range r.joinerIDs() {
+		j := r.joiners[id]
 		m, member := st.Membership.Find(id)
 		if member && m.Addr != j.Addr && now.Sub(j.At) <= joinRequestTTL {
 			m.Addr = j.Addr
@@ -161,7 +162,8 @@
 // cannot vote.
 func (r *Roster) removeReplaced(volatile bool) func(time.Time, consensus.Status) (Change, bool) {
 	return func(now time.Time, st consensus.Status) (Change, bool) {
-		for _, j := range r.joiners {
+		for _, id := range r.joinerIDs() {
+			j := r.joiners[id]
 			if j.Volatile != volatile || now.Sub(j.At) > joinRequestTTL {
 				continue
 			}
@@ -175,26 +177,28 @@
 	}
 }
 
-// demoteSilentVoter takes the vote of a silent voter if a spare can take its place. The voter
-// stays a member: if it comes back, it is a spare at once.
+// demoteSilentVoter takes the vote of the voter that has been silent for longest if a spare can
+// take its place. The voter stays a member: if it comes back, it is a spare at once.
 func (r *Roster) demoteSilentVoter(now time.Time, st consensus.Status) (Change, bool) {
 	voters := st.Membership.Voters()
 	if _, spare := r.readySpare(now, st); voters < r.cfg.Voters || voters == r.cfg.Voters && !spare {
 		return Change{}, false
 	}
+	longest, found := consensus.Member{}, false
 	for _, m := range st.Membership.Members {
-		if m.Voter && m.ID != st.ID && r.voterSilent(now, m.ID) {
-			m.Voter = false
-			return Change{Member: m, Reason: "silent, and a spare can vote in its place"}, true
+		if m.Voter && m.ID != st.ID && r.voterSilent(now, m.ID) && (!found || r.silence(now, m.ID) > r.silence(now, longest.ID)) {
+			longest, found = m, true
 		}
 	}
-	return Change{}, false
+	longest.Voter = false
+	return Change{Member: longest, Reason: "silent, and a spare can vote in its place"}, found
 }
 
 // admit adds a host that asks to join, as a non-voting member.
 func (r *Roster) admit(volatile bool) func(time.Time, consensus.Status) (Change, bool) {
 	return func(now time.Time, st consensus.Status) (Change, bool) {
-		for id, j := range r.joiners {
+		for _, id := range r.joinerIDs() {
+			j := r.joiners[id]
 			if now.Sub(j.At) > joinRequestTTL {
 				delete(r.joiners, id)
 				continue
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -30,7 +30,7 @@
 
 func TestHealthyGroupIsNotChanged(t *testing.T) {
 	is := is.New(t)
-	r := New(DefaultConfig(1, 0), start, FormerLeader{})
+	r := New(DefaultConfig(1, 0), start, nil)
 	now := start.Add(time.Minute)
 	r.RecordMessage(now, 2)
 	r.RecordMessage(now, 3)
@@ -43,7 +43,7 @@
 // lost although fewer disks failed than the group tolerates.
 func TestHostWithoutADiskJoinsButNeverVotes(t *testing.T) {
 	is := is.New(t)
-	r := New(DefaultConfig(1, 0), start, FormerLeader{})
+	r := New(DefaultConfig(1, 0), start, nil)
 	now := start.Add(time.Second)
 	r.Join(Joiner{ID: 9, Addr: "d", At: now, Volatile: true})
 	c, due := r.Next(now, statusOf(voter(1, "a"), voter(2, "b")))
@@ -58,7 +58,7 @@
 // a voter, which can never vote again, the group would tolerate no further failure.
 func TestLostDiskIsReplacedByItsNewIdentity(t *testing.T) {
 	is := is.New(t)
-	r := New(DefaultConfig(1, 0), start, FormerLeader{})
+	r := New(DefaultConfig(1, 0), start, nil)
 	now := start.Add(time.Second)
 	r.Join(Joiner{ID: 9, Addr: "b", At: now})
 	c, due := r.Next(now, statusOf(threeVoters()...))
@@ -85,7 +85,7 @@
 func TestSilentVoterIsReplacedBySpare(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultConfig(1, 0)
-	r := New(cfg, start, FormerLeader{})
+	r := New(cfg, start, nil)
 	st := statusOf(append(threeVoters(), consensus.Member{ID: 4, Addr: "d"})...)
 	now := start.Add(cfg.ReplaceAfter / 2)
 	r.RecordMessage(now, 2)
@@ -118,11 +118,26 @@
 	is.True(!due)
 }
 
+// Guards against a vote that is taken from a voter which may come back, while another one is gone.
+func TestVoterSilentForLongestIsReplacedFirst(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig(2, 0)
+	st := statusOf(append(threeVoters(), voter(5, "e"), voter(6, "f"), consensus.Member{ID: 4, Addr: "d"})...)
+	for _, gone := range []consensus.NodeID{2, 3, 5, 6} {
+		r := New(cfg, start, FormerLeaders{gone: start.Add(-2 * cfg.ReplaceAfter)})
+		now := start.Add(cfg.ReplaceAfter * 3 / 2) // all others are silent for this long
+		r.RecordMessage(now, 4)
+		c, due := r.Next(now, st)
+		is.True(due)
+		is.Equal(c.Member.ID, gone)
+	}
+}
+
 // Guards against a silence that is counted anew from each change of leader.
 func TestSilenceOfTheFormerLeaderCounts(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultConfig(1, 0)
-	r := New(cfg, start, FormerLeader{ID: 3, LastSeen: start.Add(-cfg.ReplaceAfter)})
+	r := New(cfg, start, FormerLeaders{3: start.Add(-cfg.ReplaceAfter)})
 	st := statusOf(append(threeVoters(), consensus.Member{ID: 4, Addr: "d"})...)
 	for _, after := range []time.Duration{cfg.ReplaceAfter / 4, cfg.ReplaceAfter * 3 / 4} {
 		now := start.Add(after)
@@ -136,7 +151,7 @@
 func TestSilentSpareIsRemovedAndOldJoinRequestsExpire(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultConfig(1, 0)
-	r := New(cfg, start, FormerLeader{})
+	r := New(cfg, start, nil)
 	r.Join(Joiner{ID: 9, Addr: "z", At: start})
 	now := start.Add(cfg.RemoveAfter + time.Second)
 	r.RecordMessage(now, 2)
@@ -151,7 +166,7 @@
 // vote would be replaced seconds late.
 func TestHostsWithADiskJoinFirst(t *testing.T) {
 	is := is.New(t)
-	r := New(DefaultConfig(1, 0), start, FormerLeader{})
+	r := New(DefaultConfig(1, 0), start, nil)
 	now := start.Add(time.Second)
 	ms := threeVoters()
 	for i := range 6 {
@@ -181,7 +196,7 @@
 // disk, which would remove both from the voters.
 func TestHostsThatSwappedAddressesKeepTheirIdentities(t *testing.T) {
 	is := is.New(t)
-	r := New(DefaultConfig(1, 0), start, FormerLeader{})
+	r := New(DefaultConfig(1, 0), start, nil)
 	now := start.Add(time.Second)
 	r.Join(Joiner{ID: 2, Addr: "c", At: now})
 	r.Join(Joiner{ID: 3, Addr: "b", At: now})
@@ -200,7 +215,7 @@
 
 func TestHealthTellsWhatMayBeLostAndWhyNot(t *testing.T) {
 	is := is.New(t)
-	r := New(DefaultConfig(1, 0), start, FormerLeader{})
+	r := New(DefaultConfig(1, 0), start, nil)
 	now := start.Add(time.Minute)
 	r.RecordMessage(now, 2)
 	r.RecordMessage(now, 3)
