--- a/internal/adapter/disklog/generation.go
+++ b/internal/adapter/disklog/generation.go
@@ -159,22 +159,23 @@
 // HasSetAside reports whether the folder may hold files that were set aside.
 func (l *Log) HasSetAside() bool { return l.generation > 0 }
 
-// RemoveSetAside removes the files of earlier generations. It may be called once the group
-// holds what they held.
-func (l *Log) RemoveSetAside() error {
+// RemoveSetAside removes the files of earlier generations and returns how many there were. It may
+// be called once the group holds what they held.
+func (l *Log) RemoveSetAside() (removed int, err error) {
 	names, err := l.fs.List(l.folder.Dir)
 	if err != nil {
-		return oops.Wrapf(err, "list data folder")
+		return 0, oops.Wrapf(err, "list data folder")
 	}
 	for _, name := range names {
 		if !l.isSetAside(name) {
 			continue
 		}
 		if err := l.fs.Remove(l.folder.path(name)); err != nil {
-			return oops.Wrapf(err, "remove a file that was set aside")
+			return removed, oops.Wrapf(err, "remove a file that was set aside")
 		}
+		removed++
 	}
-	return nil
+	return removed, nil
 }
 
 // isSetAside reports whether a file belongs to an earlier generation.
--- a/internal/app/control/group.go
+++ b/internal/app/control/group.go
@@ -92,9 +92,11 @@
 	if _, member := l.node.Status().Membership.Find(l.id); !member {
 		return
 	}
-	err := l.setAside.RemoveSetAside()
+	removed, err := l.setAside.RemoveSetAside()
 	l.setAside = nil
-	l.log.Info().Err(err).Msg("set_aside_log_removed")
+	if removed > 0 || err != nil {
+		l.log.Info().Int("files", removed).Err(err).Msg("set_aside_log_removed")
+	}
 }
 
 // foundingMembership returns the first membership of the group, and whether this host is
