roster: a new leader counts a silence from when it last heard the voter, in whichever role

Cause: what a leader knew of its followers was dropped when it lost its leadership for a moment. A voter was gone, packets were lost, the same host led again 3 s later and waited 2 s anew, while the next disk was lost 4.4 s after the first. Change: one record of when each other member was last heard, kept over terms and roles, in place of that of former leaders alone. A voter still has half of the time to answer a new leader.

--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -143,7 +143,7 @@
 		// Read contexts start at a random number, so that an answer to an earlier
 		// incarnation is not matched with a read of this one.
 		nextRead: rand.Uint64() >> 1,
-		former:   roster.FormerLeaders{}, onDeploy: c.cfg.OnDeploy, onPoison: c.cfg.OnPoison, rosterUsed: c.cfg.Seeds.used(), rosterCfg: c.cfg.Seeds.Roster, volatile: c.cfg.Seeds.Volatile,
+		heard:    roster.Heard{}, onDeploy: c.cfg.OnDeploy, onPoison: c.cfg.OnPoison, rosterUsed: c.cfg.Seeds.used(), rosterCfg: c.cfg.Seeds.Roster, volatile: c.cfg.Seeds.Volatile,
 	}
 	c.loop.node = consensus.New(consensus.Config{
 		ID: c.id, ElectionTicks: electionTicks, StartTicks: startTicks, HeartbeatTicks: voterHeartbeatTicks, ObserverTicks: observerHeartbeatTicks,
--- a/internal/app/control/group.go
+++ b/internal/app/control/group.go
@@ -141,13 +141,6 @@
 	return res, err
 }
 
-// recordLeader records a message that was received from this host's leader. It runs in the loop.
-func (l *loop) recordLeader(now time.Time, m consensus.Message) {
-	if lead := l.node.Leader(); lead != consensus.None && lead != l.id && m.From == lead {
-		l.former[lead] = now
-	}
-}
-
 // tickRoster proposes the membership change that is due. It runs in the loop.
 func (l *loop) tickRoster(now time.Time) {
 	if !l.rosterUsed || now.Sub(l.rosterChecked) < rosterInterval {
@@ -160,11 +153,11 @@
 		return
 	}
 	if l.roster == nil || l.rosterTerm != l.node.Term() {
-		l.roster, l.rosterTerm = roster.New(l.rosterCfg, now, l.former), l.node.Term()
+		l.roster, l.rosterTerm = roster.New(l.rosterCfg, now, l.heard), l.node.Term()
 	}
 	st := l.node.Status()
 	l.reportMoved(now, st.Membership)
-	maps.DeleteFunc(l.former, func(id consensus.NodeID, _ time.Time) bool {
+	maps.DeleteFunc(l.heard, func(id consensus.NodeID, _ time.Time) bool {
 		_, member := st.Membership.Find(id)
 		return !member
 	})
--- a/internal/app/control/handlers.go
+++ b/internal/app/control/handlers.go
@@ -66,9 +66,9 @@
 			if c.loop.roster != nil {
 				c.loop.roster.RecordMessage(now, m.From)
 			}
+			c.loop.heard[m.From] = now
 			c.loop.watch.observeMessage(now, m)
 			c.loop.node.Step(m)
-			c.loop.recordLeader(now, m)
 		}
 	})
 	return nil
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -86,7 +86,7 @@
 	roster        *roster.Roster // nil while not leading
 	rosterTerm    uint64
 	rosterChecked time.Time
-	former        roster.FormerLeaders
+	heard         roster.Heard
 
 	volatile     bool
 	loggedVote   string
--- a/internal/app/control/model_test.go
+++ b/internal/app/control/model_test.go
@@ -37,7 +37,7 @@
 	kept     []string // addresses in the data folder
 	roster   *roster.Roster
 	rosterIn uint64 // term of roster
-	former   roster.FormerLeaders
+	heard    roster.Heard
 	inbox    []delivery
 
 	frozenUntil time.Time
@@ -145,7 +145,7 @@
 			return
 		}
 	}
-	h.former = roster.FormerLeaders{}
+	h.heard = roster.Heard{}
 	h.id, h.value, h.sinceSnap, h.roster, h.inbox, h.ledAt = res.Identity.Node, modelValue(res.Snapshot.Data), 0, nil, nil, m.now
 	h.node = consensus.New(consensus.Config{
 		ID: h.id, ElectionTicks: electionTicks, StartTicks: startTicks, HeartbeatTicks: voterHeartbeatTicks, ObserverTicks: observerHeartbeatTicks,
@@ -307,10 +307,8 @@
 	if h.roster != nil {
 		h.roster.RecordMessage(m.now, msg.From)
 	}
+	h.heard[msg.From] = m.now
 	h.node.Step(msg)
-	if lead := h.node.Leader(); lead != consensus.None && lead != h.id && msg.From == lead {
-		h.former[lead] = m.now
-	}
 }
 
 // tickRoster does what loop.tickRoster does.
@@ -320,7 +318,7 @@
 		return
 	}
 	if h.roster == nil || h.rosterIn != h.node.Term() {
-		h.roster, h.rosterIn = roster.New(m.cfg, m.now, h.former), h.node.Term()
+		h.roster, h.rosterIn = roster.New(m.cfg, m.now, h.heard), h.node.Term()
 	}
 	if m.now.UnixMilli()%rosterInterval.Milliseconds() != 0 {
 		return
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -84,14 +84,14 @@
 	checkedCommit uint64
 }
 
-// FormerLeaders holds when a host last got a message from each leader that it followed. Of no
-// other member does a follower know whether it is silent.
-type FormerLeaders map[consensus.NodeID]time.Time
+// Heard holds when a host last got a message from each other member: a leader's as its follower, the
+// members' as their leader. Members that it neither followed nor led are missing.
+type Heard map[consensus.NodeID]time.Time
 
 // New returns a Roster for a leader whose term begins now.
-func New(cfg Config, now time.Time, former FormerLeaders) *Roster {
+func New(cfg Config, now time.Time, heard Heard) *Roster {
 	r := &Roster{cfg: cfg, termStart: now, lastSeen: map[consensus.NodeID]time.Time{}, joiners: map[consensus.NodeID]Joiner{}}
-	maps.Copy(r.lastSeen, former)
+	maps.Copy(r.lastSeen, heard)
 	return r
 }
 
@@ -242,8 +242,8 @@
 	return Change{}, false
 }
 
-// voterSilent reports whether a voter has been silent for longer than ReplaceAfter. A former
-// leader that lost its leadership only has half of that time to answer the new one.
+// voterSilent reports whether a voter has been silent for longer than ReplaceAfter. One that had
+// no reason to send anything before the term has half of that time to answer its leader.
 func (r *Roster) voterSilent(now time.Time, id consensus.NodeID) bool {
 	return r.silence(now, id) > r.cfg.ReplaceAfter && now.Sub(r.termStart) > r.cfg.ReplaceAfter/2
 }
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -124,7 +124,7 @@
 	cfg := DefaultConfig(2, 0)
 	st := statusOf(append(threeVoters(), voter(5, "e"), voter(6, "f"), consensus.Member{ID: 4, Addr: "d"})...)
 	for _, gone := range []consensus.NodeID{2, 3, 5, 6} {
-		r := New(cfg, start, FormerLeaders{gone: start.Add(-2 * cfg.ReplaceAfter)})
+		r := New(cfg, start, Heard{gone: start.Add(-2 * cfg.ReplaceAfter)})
 		now := start.Add(cfg.ReplaceAfter * 3 / 2) // all others are silent for this long
 		r.RecordMessage(now, 4)
 		c, due := r.Next(now, st)
@@ -137,7 +137,7 @@
 func TestSilenceOfTheFormerLeaderCounts(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultConfig(1, 0)
-	r := New(cfg, start, FormerLeaders{3: start.Add(-cfg.ReplaceAfter)})
+	r := New(cfg, start, Heard{3: start.Add(-cfg.ReplaceAfter)})
 	st := statusOf(append(threeVoters(), consensus.Member{ID: 4, Addr: "d"})...)
 	for _, after := range []time.Duration{cfg.ReplaceAfter / 4, cfg.ReplaceAfter * 3 / 4} {
 		now := start.Add(after)
