consensus: a spare is promoted once it holds the change that added it

The group's own roster wants the whole log of a spare and was not affected. Change: a promotion wants the spare to hold the newest change of the membership. Test: TestSpareIsNotPromotedBeforeItHoldsItsAdmission (red by the code before: nothing there looked at what a new member holds but for a slack of 1,000 entries); the ten of app/dev.

--- a/internal/core/consensus/membership_test.go
+++ b/internal/core/consensus/membership_test.go
@@ -178,6 +178,16 @@
 	is.NoErr(err) // 5 holds it
 }
 
+// Guards against a group of two that has no quorum, as the second one was promoted before it knew the first.
+func TestSpareIsNotPromotedBeforeItHoldsItsAdmission(t *testing.T) {
+	is := is.New(t)
+	g := newMemberGroup(t)
+	l := g.leader()
+	g.change(consensus.Member{ID: 6}, false) // has not answered yet
+	_, err := l.ProposeMembership(consensus.Member{ID: 6, Voter: true}, false)
+	is.Equal(err, consensus.ErrMemberBehind)
+}
+
 // Guards against a promotion that is refused while the next answer of a spare, which gets few
 // heartbeats, is awaited.
 func TestSpareIsPromotedBetweenTwoOfItsAnswers(t *testing.T) {
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -378,9 +378,9 @@
 	if mem.Voter && (!known || !old.Voter) {
 		// A voter without the log would count towards quorums that it
 		// cannot yet serve, so members join non-voting and are promoted
-		// once they have caught up.
+		// once they have caught up, at least to the change that added them.
 		p, ok := n.progress[mem.ID]
-		if !ok || p.silent() || p.match+promoteSlack < n.log.commit {
+		if !ok || p.silent() || p.match < n.lastChange || p.match+promoteSlack < n.log.commit {
 			return Membership{}, ErrMemberBehind
 		}
 	}
