gateway: ends of a part that are reported again are cold by the parts' book

A new leader counted three ends that one entry saw 150 ms apart as one, because the entry was in its first ten seconds and the report asked the book of requests (10 s) instead of the book of parts (1 s). TestNewLeaderCountsEachEndOfAPart: 1 before, 3 now.

--- a/internal/app/gateway/suspects.go
+++ b/internal/app/gateway/suspects.go
@@ -111,7 +111,7 @@
 // if an equal one was answered recently, and a part does not if another request with it was.
 func (s *suspects) recordEndLocked(now time.Time, r brokenRun, id fleet.EndpointID) {
 	if !s.answered.Has(now, r.request) {
-		s.addEnd(now, poison.End{Request: r.request, Incarnation: string(id), Cold: s.answered.Cold(now)})
+		s.addEnd(now, poison.End{Request: r.request, Incarnation: string(id), Cold: s.cold(now, false)})
 	}
 	var parts []poison.Fingerprint
 	for _, f := range r.parts {
@@ -121,13 +121,22 @@
 	}
 	for _, f := range parts {
 		s.trials.Over("", f)
-		s.addEnd(now, poison.End{Request: f, Incarnation: string(id), Cold: s.proven.Cold(now), Part: true, Trial: r.trial && len(parts) == 1})
+		s.addEnd(now, poison.End{Request: f, Incarnation: string(id), Cold: s.cold(now, true), Part: true, Trial: r.trial && len(parts) == 1})
 	}
 	if len(parts) > 0 {
 		s.signalChanged()
 	}
 }
 
+// cold reports whether this entry has not run for long enough to know which requests, or which parts
+// of prompts, are often answered.
+func (s *suspects) cold(now time.Time, part bool) bool {
+	if part {
+		return s.proven.Cold(now)
+	}
+	return s.answered.Cold(now)
+}
+
 func (s *suspects) addEnd(now time.Time, e poison.End) {
 	if isNew, _ := s.own.Ended(now, e); !isNew {
 		return
@@ -296,7 +305,7 @@
 		ends = nil
 		for _, c := range s.own.Cases() {
 			for _, start := range c.Incarnations {
-				ends = append(ends, poison.End{Request: c.Request, Incarnation: start, Cold: s.answered.Cold(now), Part: c.Part, Trial: slices.Contains(c.Trials, start)})
+				ends = append(ends, poison.End{Request: c.Request, Incarnation: start, Cold: s.cold(now, c.Part), Part: c.Part, Trial: slices.Contains(c.Trials, start)})
 			}
 		}
 	}
