gateway: a trial of a part is over when its endpoint may have ended

An automatic repeat of the same request kept the trial and took the part to the next endpoint: TestEntryWithoutALeaderEndsOneTrialOfAPart showed both ends under one request. Now the repeat waits like any other request that ran where an endpoint ended. The test stays red for the second cause.

--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -59,28 +59,30 @@
 	return st
 }
 
-// recordBreak records that an answer broke off, and whether the endpoint ended with it.
+// recordBreak records that an answer broke off, and whether the endpoint ended with it. A trial is
+// over unless the endpoint is known to run: a repeat under it would end the next one.
 func (x *exchange) recordBreak(e *endpoint) {
-	checked := make(chan struct{})
+	checked := make(chan bool, 1)
 	leaving := x.g.dir.isLeaving(e)
 	f, named := x.fingerprint()
 	run := x.broken(f)
 	sentAt, events := x.sentAt, x.eventsSent
 	x.trialOpen = len(x.trial) > 0
-	go func() {
-		defer close(checked)
-		x.recordEnd(run, named && !leaving, e.ID, e.Addr, sentAt, events)
-	}()
+	go func() { checked <- x.recordEnd(run, named && !leaving, e.ID, e.Addr, sentAt, events) }()
+	ended := true
 	select {
-	case <-checked:
+	case ended = <-checked:
 	case <-time.After(livenessWait):
 	}
+	if ended {
+		x.trialUntil = time.Time{}
+	}
 }
 
-// recordEnd checks whether an endpoint ended. That counts against the request unless it has
+// recordEnd checks whether an endpoint ended, and reports it. That counts against the request unless it has
 // no fingerprint yet or the endpoint was leaving: one that leaves as planned may end under a
 // request when its time is over, which says nothing about the request.
-func (x *exchange) recordEnd(run brokenRun, counts bool, id fleet.EndpointID, addr string, sentAt time.Time, events int) {
+func (x *exchange) recordEnd(run brokenRun, counts bool, id fleet.EndpointID, addr string, sentAt time.Time, events int) bool {
 	ended := x.g.liveness.hasEnded(id, addr)
 	x.g.metrics.countBroken(ended)
 	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("endpoint", string(id)).Stringer("fingerprint", run.request).Strs("parts", names(run.parts)).Bool("trial", run.trial).
@@ -93,6 +95,7 @@
 	default:
 		x.g.suspects.recordUnresolved(time.Now(), run, id)
 	}
+	return ended
 }
 
 // recordSilence records that an endpoint has been silent beyond its limit.
