gateway, poison: without a leader an entry ends at most one trial of a part

An entry that was told of one end and saw another under its own trial took the larger of the two counts, one, and tried again. A trial under which an endpoint ended now stays taken while that end counts, or until the part is cleared. TestEntryWithoutALeaderEndsOneTrialOfAPart: 2 arrivals before, 1 now.

--- a/internal/app/gateway/suspects.go
+++ b/internal/app/gateway/suspects.go
@@ -120,7 +120,9 @@
 		}
 	}
 	for _, f := range parts {
-		s.trials.Over("", f)
+		if s.trials.Over("", f); r.trial {
+			s.trials.Ended(now, f)
+		}
 		s.addEnd(now, poison.End{Request: f, Incarnation: string(id), Cold: s.cold(now, true), Part: true, Trial: r.trial && len(parts) == 1})
 	}
 	if len(parts) > 0 {
@@ -176,7 +178,8 @@
 }
 
 // takeTrial hands out a trial while no leader does: for parts of which this entry knows at most
-// one end.
+// one end, and had no trial under which an endpoint ended. The end that it was told of is another
+// one than that of its trial, but neither count shows that.
 func (s *suspects) takeTrial(now time.Time, parts []poison.Fingerprint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -277,6 +280,7 @@
 		switch {
 		case t.Ends == 0:
 			s.own.Clear(t.Request)
+			s.trials.Cleared(t.Request)
 		case s.answered.Has(now, t.Request), t.Part && s.proven.Has(now, t.Request):
 			s.reportCleared(t.Request)
 		default:
--- a/internal/core/poison/trials.go
+++ b/internal/core/poison/trials.go
@@ -13,6 +13,7 @@
 type trial struct {
 	by    string // entry
 	until time.Time
+	ended bool // an endpoint ended under it
 }
 
 // Take hands out a trial of all given parts, which one request has, or of none.
@@ -22,22 +23,32 @@
 			return false
 		}
 	}
-	if t.held == nil {
-		t.held = map[Fingerprint]trial{}
-	}
 	for _, f := range parts {
-		t.held[f] = trial{by, now.Add(TrialTimeout)}
+		t.hold(f, trial{by: by, until: now.Add(TrialTimeout)})
 	}
 	return true
 }
 
-// Over ends an entry's trial of a part.
+func (t *Trials) hold(f Fingerprint, h trial) {
+	if t.held == nil {
+		t.held = map[Fingerprint]trial{}
+	}
+	t.held[f] = h
+}
+
+// Over ends an entry's trial of a part, unless an endpoint ended under it.
 func (t *Trials) Over(by string, f Fingerprint) {
-	if t.held[f].by == by {
+	if h := t.held[f]; h.by == by && !h.ended {
 		delete(t.held, f)
 	}
 }
 
+// Ended records that an endpoint ended under a trial of a part: no other trial is handed out while
+// that end counts.
+func (t *Trials) Ended(now time.Time, f Fingerprint) {
+	t.hold(f, trial{until: now.Add(CaseRetention), ended: true})
+}
+
 // Cleared ends the trial of a part that is not suspect any more.
 func (t *Trials) Cleared(f Fingerprint) { delete(t.held, f) }
 
