controller: a new leader grants no trial before entries had the time to report

It knew nothing of ends that the one before it had heard, and granted a trial at once: each change of leader could cost one more endpoint. It now waits ObjectionTime, the time within which what entries observe reaches the leader.

--- a/internal/app/controller/suspects.go
+++ b/internal/app/controller/suspects.go
@@ -97,7 +97,7 @@
 			return wire.TrialResult{Leading: true}
 		}
 	}
-	granted := len(p.Take) > 0 && d.trials.Take(now, by, p.Take)
+	granted := len(p.Take) > 0 && d.MayTry(now) && d.trials.Take(now, by, p.Take)
 	for _, f := range p.Take {
 		c.cfg.Log.Info().Stringer("fingerprint", f).Str("entry", by).Int("parts", len(p.Take)).Int("ends", d.Standing(now, f).Ends).Bool("granted", granted).Msg("suspect_trial")
 	}
--- a/internal/core/poison/leaderbook.go
+++ b/internal/core/poison/leaderbook.go
@@ -31,17 +31,22 @@
 type LeaderBook struct {
 	*Book
 	cleared map[Fingerprint]time.Time
+	began   time.Time
 }
 
 // NewLeaderBook returns a LeaderBook with the quarantines of a registry.
 func NewLeaderBook(now time.Time, r Registry) *LeaderBook {
-	d := &LeaderBook{Book: NewBook(), cleared: map[Fingerprint]time.Time{}}
+	d := &LeaderBook{Book: NewBook(), cleared: map[Fingerprint]time.Time{}, began: now}
 	for _, c := range r.Cases {
 		d.Restore(now, c)
 	}
 	return d
 }
 
+// MayTry reports whether trials may be handed out: not before entries had the time to report again
+// what the previous leader knew.
+func (d *LeaderBook) MayTry(now time.Time) bool { return now.Sub(d.began) >= ObjectionTime }
+
 // Clear removes the case of a request and has this published to entries. It reports whether
 // there was a case.
 func (d *LeaderBook) Clear(now time.Time, f Fingerprint) bool {
