gateway: failing test: entries try a suspect part while a new leader is elected

Trace: the leader dies before it has told anybody, each of four entries sees one end (four), and two of them hand out a trial of their own within the 0.6 s without a leader (six).

--- a/internal/app/gateway/parts_test.go
+++ b/internal/app/gateway/parts_test.go
@@ -121,6 +121,21 @@
 	is.Equal(b.arrivals(), 0)
 }
 
+// Guards against a trial by each entry while a new leader is elected: together they end more endpoints
+// than the leader, once it has heard of the first ends.
+func TestEntryThatHasJustLostTheLeaderTriesNoPart(t *testing.T) {
+	is := is.New(t)
+	b := streamsOrEnds(t)
+	g := startGateway(t, b)
+	publishSuspects(g, 1, poison.Update{Request: part("p"), Ends: 1, Part: true})
+	g.sync.contact.record(time.Now())
+	got := dial(t, g).ask("POST", "/stream/x", "r0", "b0", "Parts: p", "Left: 400")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(b.arrivals(), 0)
+	g.sync.contact.record(time.Now().Add(-ownTrialsAfter))
+	is.Equal(dial(t, g).ask("POST", "/stream/x", "r1", "b1", "Parts: p").status, http.StatusOK)
+}
+
 // Guards against a second trial by an entry that no leader answers: one end it was told of, the other
 // it saw, so neither count alone shows two.
 func TestEntryWithoutALeaderEndsOneTrialOfAPart(t *testing.T) {
--- a/internal/app/gateway/trials.go
+++ b/internal/app/gateway/trials.go
@@ -13,6 +13,9 @@
 	// trialCallTimeout bounds the question for a trial: without an answer of the leader this entry
 	// hands trials out itself, more sparingly.
 	trialCallTimeout = 300 * time.Millisecond
+	// ownTrialsAfter is the time since the leader's last answer after which this entry hands out trials
+	// itself. A new leader answers within less.
+	ownTrialsAfter = 3 * time.Second
 	// trialPause is the time after which a request asks again for a trial that another one has.
 	trialPause = 50 * time.Millisecond
 	// clearanceWait is how long a request that ran where an endpoint ended waits for its parts to be
