--- a/internal/app/gateway/trials.go
+++ b/internal/app/gateway/trials.go
@@ -98,12 +98,13 @@
 }
 
 // takeTrial asks for a trial of suspect parts: the leader, which knows of all, or this entry's own
-// book while no leader answers.
+// book if no leader has answered for a while.
 func (x *exchange) takeTrial(ctx context.Context, suspect []poison.Fingerprint) bool {
 	begun, by := time.Now(), trialByLeader
 	r, err := x.g.callTrial(ctx, wire.TrialParams{Host: x.g.cfg.Host, Take: suspect})
 	if err != nil {
-		by, r.Granted = trialByEntry, x.g.suspects.takeTrial(begun, suspect)
+		heard, _ := x.g.sync.contact.last()
+		by, r.Granted = trialByEntry, begun.Sub(heard) >= ownTrialsAfter && x.g.suspects.takeTrial(begun, suspect)
 	}
 	x.g.metrics.countTrial(r.Granted, by)
 	if !r.Granted {
