rpc: failing test: a suspended process closes a connection whose peer reads

The write's deadline of 2 s passes while nobody could write or read. Real processes are suspended as well; then each large message under way costs a connection.

--- a/internal/adapter/rpc/rpc_test.go
+++ b/internal/adapter/rpc/rpc_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -147,3 +148,33 @@
 	is.True(time.Since(begun) < 2*writeTimeout)
 	is.True(!c.SentChunkSince(time.Now().Add(-writeTimeout / 2)))
 }
+
+// lateConn is a connection whose first write finds its deadline passed, as after the process had no
+// processor for that long.
+type lateConn struct {
+	net.Conn
+	late bool
+}
+
+func (c *lateConn) Write(p []byte) (int, error) {
+	if !c.late {
+		c.late = true
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against a connection that is closed, though its peer reads, because this process was suspended.
+func TestWriteGoesOnAfterThisProcessWasSuspended(t *testing.T) {
+	is := is.New(t)
+	here, there := net.Pipe()
+	defer here.Close()
+	defer there.Close()
+	body := make(chan []byte, 1)
+	go func() {
+		b, _, _ := newStream(there, &ByteCounter{}).readFrame(MaxFrame)
+		body <- b
+	}()
+	is.NoErr(newStream(&lateConn{Conn: here}, &ByteCounter{}).WriteObject("x"))
+	is.Equal(string(<-body), `"x"`)
+}
