rpc: a write times out by the time in which this process ran

The timeout of 2 s is divided into four windows: a time in which the process was suspended takes up one of them. A peer that reads nothing is still given up within 2 s (TestStalledReaderEndsALargeMessage). On TLS the records of a chunk have a timeout each: a connection must not be written on after one failed.

--- a/internal/adapter/rpc/frame.go
+++ b/internal/adapter/rpc/frame.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,8 +21,11 @@
 	MaxFrame     = 256 << 20
 	frameHeader  = 4
 	writeTimeout = 2 * time.Second // a connection whose peer reads nothing for this long is closed
+	// writeWindows is into how many parts a write divides its timeout. A time in which this process
+	// was suspended, however long, takes up one of them.
+	writeWindows = 4
 	bufferSize   = 4 << 10
-	// chunkSize is how much of a frame is written under one write timeout. On a slow
+	// chunkSize is how much of a frame is written under one write timeout or, on TLS, a few. On a slow
 	// link a snapshot of the control state takes longer than the timeout although the
 	// peer keeps reading; one timeout for the whole frame would close the connection
 	// and repeat the transfer without end.
@@ -62,12 +66,32 @@
 	In, Out atomic.Int64
 }
 
-// limitSendBuffer bounds the send buffer of a connection. If that fails, the
+// boundSends bounds the send buffer of a connection and the time of its writes. If the first fails, the
 // kernel's bound applies.
-func limitSendBuffer(c net.Conn) {
+func boundSends(c net.Conn) net.Conn {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetWriteBuffer(sendBuffer)
 	}
+	return steadyConn{c}
+}
+
+// steadyConn is a connection whose writes time out by the time in which this process ran.
+type steadyConn struct{ net.Conn }
+
+// Write writes p within writeTimeout.
+func (c steadyConn) Write(p []byte) (written int, err error) {
+	for range writeWindows {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout / writeWindows)); err != nil {
+			return written, err
+		}
+		var n int
+		n, err = c.Conn.Write(p[written:])
+		written += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+	}
+	return written, err
 }
 
 func newStream(c net.Conn, count *ByteCounter) *stream {
@@ -136,11 +160,8 @@
 	return nil
 }
 
-// writeChunk writes a part of a frame and flushes the buffer, under one write timeout.
+// writeChunk writes a part of a frame and flushes the buffer.
 func (s *stream) writeChunk(p []byte) error {
-	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	if _, err := s.w.Write(p); err != nil {
 		return err
 	}
--- a/internal/adapter/rpc/rpc.go
+++ b/internal/adapter/rpc/rpc.go
@@ -148,7 +148,7 @@
 	if err != nil {
 		return nil, oops.With("addr", addr).Wrapf(err, "connect")
 	}
-	limitSendBuffer(nc)
+	nc = boundSends(nc)
 	if sec.Client != nil {
 		nc = tls.Client(nc, sec.Client)
 	}
@@ -220,7 +220,7 @@
 }
 
 func (s *Server) serve(nc net.Conn) {
-	limitSendBuffer(nc)
+	nc = boundSends(nc)
 	if s.sec.Server != nil {
 		nc = tls.Server(nc, s.sec.Server)
 	}
--- a/internal/adapter/rpc/rpc_test.go
+++ b/internal/adapter/rpc/rpc_test.go
@@ -175,6 +175,6 @@
 		b, _, _ := newStream(there, &ByteCounter{}).readFrame(MaxFrame)
 		body <- b
 	}()
-	is.NoErr(newStream(&lateConn{Conn: here}, &ByteCounter{}).WriteObject("x"))
+	is.NoErr(newStream(boundSends(&lateConn{Conn: here}), &ByteCounter{}).WriteObject("x"))
 	is.Equal(string(<-body), `"x"`)
 }
