consensus: failing test: a second membership change while one is under way

Memberships take effect when applied, so a second change that is worked out meanwhile differs from the first by two members: two majorities need not meet.

--- a/internal/core/consensus/membership_test.go
+++ b/internal/core/consensus/membership_test.go
@@ -1,6 +1,7 @@
 package consensus_test
 
 import (
+	"errors"
 	"slices"
 	"testing"
 
@@ -212,3 +213,20 @@
 	_, err := l.ProposeMembership(consensus.Member{ID: l.Status().ID}, false)
 	is.Equal(err, consensus.ErrRemoveLeader)
 }
+
+// Guards against two changes under way: each is worked out from the applied membership, so the second
+// differs by two members from the first, and a majority of one need not meet one of the other.
+func TestOneChangeAtATime(t *testing.T) {
+	is := is.New(t)
+	g := newMemberGroup(t)
+	l := g.leader()
+	_, err := l.ProposeMembership(consensus.Member{ID: 4, Voter: true}, false)
+	is.NoErr(err)
+	for _, c := range []consensus.Member{{ID: 5, Voter: true}, {ID: 4, Voter: true}, {ID: 6}} {
+		_, err = l.ProposeMembership(c, false)
+		is.True(errors.Is(err, consensus.ErrChangePending))
+	}
+	g.settle()
+	_, err = l.ProposeMembership(consensus.Member{ID: 5, Voter: true}, false)
+	is.NoErr(err)
+}
