--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -337,7 +337,11 @@
 		return 0, ErrNotLeader
 	}
 	// With one change at a time, any majority before a change overlaps with any
-	// majority after it. Of the voters added one after the other, one that does not hold
+	// majority after it.
+	if n.lastChange > n.log.applied {
+		return 0, ErrChangePending
+	}
+	// Of the voters added one after the other, one that does not hold
 	// all that is committed must wait until the last one holds the log: otherwise two quick
 	// repairs could leave a quorum in which no member has the data if a second host is lost
 	// right after the first repair. One that holds it only adds to the members that do.
