--- a/internal/app/control/model_test.go
+++ b/internal/app/control/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -226,6 +227,7 @@
 			return
 		}
 		m.send(h, rd.Messages)
+		m.checkChanges(h, rd.Committed)
 		for _, e := range rd.Committed {
 			h.sinceSnap++
 			if e.Kind == consensus.EntryCommand {
@@ -242,6 +244,36 @@
 	}
 }
 
+// checkChanges checks that each committed change of the membership takes or gives one vote.
+func (m *model) checkChanges(h *modelHost, committed []consensus.Entry) {
+	old := h.node.Status().Membership
+	for _, e := range committed {
+		if e.Kind != consensus.EntryMembership {
+			continue
+		}
+		var next consensus.Membership
+		if err := json.Unmarshal(e.Data, &next); err != nil {
+			m.fail("%s applies no membership: %v", h.addr, err)
+			return
+		}
+		if n := votesMoved(old, next) + votesMoved(next, old); n > 1 {
+			m.fail("%s applies %d moves of votes at once, from %v to %v", h.addr, n, old.Members, next.Members)
+		}
+		old = next
+	}
+}
+
+// votesMoved returns the number of voters of one membership that are none in another.
+func votesMoved(from, to consensus.Membership) int {
+	n := 0
+	for _, m := range from.Members {
+		if other, _ := to.Find(m.ID); m.Voter && !other.Voter {
+			n++
+		}
+	}
+	return n
+}
+
 func (m *model) save(h *modelHost, rd consensus.Ready) error {
 	if rd.Snapshot != nil {
 		h.value = modelValue(rd.Snapshot.Data)
