--- a/internal/app/control/model_faults_test.go
+++ b/internal/app/control/model_faults_test.go
@@ -249,8 +249,14 @@
 }
 
 // Guards against a third host that is lost while two votes move under lost packets.
-func TestThirdHostLostWhileTwoVotesMove(t *testing.T) {
-	const seed = 1675
+func TestThirdHostLostWhileTwoVotesMove(t *testing.T) { playSeed(t, 1675) }
+
+// Guards against three leaders that are lost one after the other under lost packets.
+func TestThreeLeadersLostUnderLostPackets(t *testing.T) { playSeed(t, 1957) }
+
+// playSeed plays a model of a group with seven disks, of which two may be lost at once.
+func playSeed(t *testing.T, seed uint64) {
+	t.Helper()
 	if err := newModel(seed, 2, 7).play(); err != nil {
 		t.Error(err)
 	}
