--- a/internal/adapter/disklog/start_test.go
+++ b/internal/adapter/disklog/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,7 +10,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cassiapass/cassiapass/internal/core/consensus"
 	"github.com/cassiapass/cassiapass/internal/fake/simdisk"
+	"github.com/cassiapass/cassiapass/internal/port"
 )
 
 func TestForeignFileIsReportedAndNothingChanged(t *testing.T) {
@@ -50,3 +53,60 @@
 	d.LosePower(simdisk.Nothing)
 	openSim(t, d, 3)
 }
+
+// denied refuses an operation on files with a suffix, or on the folder, for lack of permission.
+type denied struct {
+	port.FS
+	op, suffix string
+}
+
+func (d denied) check(op, path string) error {
+	if d.op == op && strings.HasSuffix(path, d.suffix) {
+		return &fs.PathError{Op: op, Path: path, Err: fs.ErrPermission}
+	}
+	return nil
+}
+
+func (d denied) List(dir string) ([]string, error) {
+	if err := d.check("list", dir); err != nil {
+		return nil, err
+	}
+	return d.FS.List(dir)
+}
+
+func (d denied) ReadFile(path string) ([]byte, error) {
+	if err := d.check("read", path); err != nil {
+		return nil, err
+	}
+	return d.FS.ReadFile(path)
+}
+
+func (d denied) Create(path string) (port.File, error) {
+	if err := d.check("create", path); err != nil {
+		return nil, err
+	}
+	return d.FS.Create(path)
+}
+
+// Guards against a folder that is taken for empty or damaged because it may not be read or written.
+func TestLackOfPermissionAtStartLosesNothing(t *testing.T) {
+	for _, no := range []denied{{op: "list"}, {op: "read", suffix: ".seg"}, {op: "read", suffix: ".snap"}, {op: "read", suffix: ".json"}, {op: "create"}} {
+		t.Run(no.op+no.suffix, func(t *testing.T) {
+			is := is.New(t)
+			d := simdisk.New(1)
+			l := openSim(t, d, 0)
+			saveSim(t, l, entries(1, 1, 2), nil)
+			is.NoErr(l.SaveSnapshot(consensus.Snapshot{Index: 1, Term: 1}))
+			no.FS = d
+			f := simFolder(d)
+			f.FS = no
+			_, _, err := f.Open(identity)
+			is.True(errors.Is(err, fs.ErrPermission))
+			is.True(!errors.Is(err, ErrDamaged))
+			_, res, err := simFolder(d).Open(identity)
+			is.NoErr(err)
+			is.Equal(res.Snapshot.Index, uint64(1))
+			is.Equal(len(res.Entries), 1)
+		})
+	}
+}
--- a/internal/app/control/model_faults_test.go
+++ b/internal/app/control/model_faults_test.go
@@ -248,6 +248,18 @@
 	playSeeds(t, 2, 7)
 }
 
+// Guards against a large change that a loss of power tears, or that fills segments while votes move.
+func TestDiskAndAllPowerLostDuringLargeChanges(t *testing.T) {
+	t.Parallel()
+	for seed := range modelSeeds(10) {
+		m := newModel(seed, 1, 4)
+		m.large = true
+		if err := m.play(); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+}
+
 // Guards against a third host that is lost while two votes move under lost packets.
 func TestThirdHostLostWhileTwoVotesMove(t *testing.T) { playSeed(t, 1675) }
 
--- a/internal/app/control/model_test.go
+++ b/internal/app/control/model_test.go
@@ -21,6 +21,7 @@
 	modelRounds  = 4                // deliveries of messages in a tick
 	modelCompact = 25               // entries between snapshots
 	modelPadding = 700              // bytes of a command
+	modelLarge   = 1 << 20          // bytes of a large one
 )
 
 // modelHost is one control host: the consensus node, the roster, the address book and the log on
@@ -68,6 +69,7 @@
 	now       time.Time
 	hosts     []*modelHost
 	next      int                // number of the next address
+	large     bool               // some commands are large
 	lossUntil time.Time          // until then a tenth of the packets is lost
 	stalled   map[link]time.Time // until a lost packet has been sent again
 	proposed  uint64
@@ -162,8 +164,8 @@
 	return binary.BigEndian.Uint64(data)
 }
 
-func modelCommand(v uint64) []byte {
-	return append(binary.BigEndian.AppendUint64(nil, v), make([]byte, modelPadding)...)
+func modelCommand(v uint64, padding int) []byte {
+	return append(binary.BigEndian.AppendUint64(nil, v), make([]byte, padding)...)
 }
 
 // lost reports whether a packet is lost.
@@ -295,7 +297,7 @@
 	}
 	h.sinceSnap = 0
 	st := h.node.Status()
-	s, ok := h.node.Compact(st.Applied, st.Membership, modelCommand(h.value))
+	s, ok := h.node.Compact(st.Applied, st.Membership, modelCommand(h.value, modelPadding))
 	if !ok || h.log == nil {
 		return nil
 	}
@@ -421,7 +423,11 @@
 	for _, h := range m.hosts {
 		if h.up() && h.node.LeaderCaughtUp() && !m.now.Before(h.frozenUntil) {
 			m.proposed++
-			_, _ = h.node.Propose(modelCommand(m.proposed))
+			padding := modelPadding
+			if m.large && m.proposed%5 == 0 {
+				padding = modelLarge
+			}
+			_, _ = h.node.Propose(modelCommand(m.proposed, padding))
 		}
 	}
 }
