--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -148,6 +148,22 @@
 	}
 }
 
+// Guards against a voter that is gone, of which the next leader does not know since when.
+func TestVoterThatNeverAnswersANewLeaderHasHalfTheTime(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig(1, 0)
+	r := New(cfg, start, nil)
+	st := statusOf(append(threeVoters(), consensus.Member{ID: 4, Addr: "d"})...)
+	for _, after := range []time.Duration{cfg.ReplaceAfter / 4, cfg.ReplaceAfter * 3 / 4} {
+		now := start.Add(after)
+		r.RecordMessage(now, 2)
+		r.RecordMessage(now, 4)
+		c, due := r.Next(now, st)
+		is.Equal(due, after > cfg.ReplaceAfter/2)
+		is.Equal(c.Member.ID == 3, due)
+	}
+}
+
 func TestSilentSpareIsRemovedAndOldJoinRequestsExpire(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultConfig(1, 0)
