roster: a voter that never answered this host has half the time to answer its leader

A leader that has never heard a voter does not know since when that is silent, and gave it ReplaceAfter (half of catchUpS) from the start of its own term. After a restart of all and a change of leader under lost packets the vote moved too late. It now has half of that to answer, like one that is known to be silent from before. Ruled out: passing on who is silent with heartbeats; the half is due from the start of the term anyway, so it would be no faster.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -243,9 +243,11 @@
 }
 
 // voterSilent reports whether a voter has been silent for longer than ReplaceAfter. One that had
-// no reason to send anything before the term has half of that time to answer its leader.
+// no reason to send anything before the term has half of that time to answer its leader, and one
+// that has never sent this host anything has no more: how long it has been silent isn't known.
 func (r *Roster) voterSilent(now time.Time, id consensus.NodeID) bool {
-	return r.silence(now, id) > r.cfg.ReplaceAfter && now.Sub(r.termStart) > r.cfg.ReplaceAfter/2
+	_, known := r.lastSeen[id]
+	return (!known || r.silence(now, id) > r.cfg.ReplaceAfter) && now.Sub(r.termStart) > r.cfg.ReplaceAfter/2
 }
 
 // silence returns the time since the last message from a member, or since the start of
