review: case 3, streams taken up while no leader answers mix two software versions

A script: control and some entries are killed while servers of another version come. It takes the place of the DRAIN case.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x review/bin/case1 ] && [ -x target/cassiapass-platform ] || exit 2
-exec review/bin/case1 review/1/record.txt
+exec review/bin/case1 "${RECORD:-review/1/record.txt}"
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x review/bin/case2 ] && [ -x target/cassiapass-platform ] || exit 2
-exec review/bin/case2 review/2/record.txt
+exec review/bin/case2 "${RECORD:-review/2/record.txt}"
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,10 +1,10 @@
-// Command case3 replaces the servers of a service one after the other while the platform's list is slow
-// to answer at times. Requests may reach a server that leaves only until drainMs after the list shows
-// that it drains, the time in which the platform is slow left out. A stream that is sent to it later is
-// cut when the server ends as planned.
+// Command case3 adds servers of another software version to a service while control is down, and kills
+// some of the entries a moment later; three times, each with another service. The requesters take their streams up at other entries. No stream may
+// hold events of two software versions.
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cassiapass/cassiapass/review/bed"
@@ -21,260 +22,210 @@
 
 const (
 	hostName = "ficu95.example"
-	prefix   = "/puxa403/"
-	service  = "drafts"
+	rounds   = 3 // one for each service
 	disks    = 4 // machines with a disk
 	diskless = 5
-	servers  = 8
-	slots    = 16
+	servers  = 12 // of version v1, for each service
+	added    = 3  // of version v2; scale_out, share 0.25
+	slots    = 64
+
 	events   = 24 // of a stream
-	eventGap = 250 * time.Millisecond
+	eventGap = 100 * time.Millisecond
+	listLag  = 800 * time.Millisecond // maxLagMs
 
-	playFor   = 104 * time.Second
-	roundFor  = 13 * time.Second
-	slowFor   = 4500 * time.Millisecond // at the beginning of each round the platform is slow
-	slowest   = 2000 * time.Millisecond // its answers take up to so long then
-	listLag   = 800 * time.Millisecond  // maxLagMs
-	drainMS   = 3000
-	lingerFor = 12 * time.Second        // a server that drains serves on for so long
-	contact   = 3 * time.Second         // contactMs
-	gap       = time.Second             // between two servers that are replaced
-	firstAt   = 1500 * time.Millisecond // of a round, when the first one drains
-	perRound  = 4
-	sendGap   = time.Second // between two requests to a machine, on average
+	alone    = 33 * time.Second        // v1 serves alone for so long; a stream lasts 12 s at most
+	downFor  = 2700 * time.Millisecond // herd_kill on core; the site's for_s is 2.73
+	addFirst = 500 * time.Millisecond  // after the kill of control, in the first round
+	addLater = 150 * time.Millisecond  // later in each further round
+	herd     = 5                       // entries that are killed together; of 9, share 0.56
+	herdAt   = 2450 * time.Millisecond
+	roundGap = 16 * time.Second      // recoverS is 12 s
+	sendGap  = 40 * time.Millisecond // between two streams at a machine
+	allowed  = 2                     // streams that may be mixed
 )
 
-// server is one sound plain server.
-type server struct {
-	c        *run
-	id, addr string
-	born     int64
-	http     *http.Server
-
-	mu       sync.Mutex
-	begun    time.Time
-	drainsAt time.Time // zero while it serves
-	goneAt   time.Time
-}
-
 type run struct {
 	b       *bed.Bed
 	trouble bool
-	begin   time.Time
 
 	mu      sync.Mutex
-	all     []*server
-	sentAt  map[string]time.Time // when the requester sent a request
-	late    int
-	isLate  map[string]bool
-	lost    int // late ones that the end of their server cut
-	arrived int
+	all     []bed.Instance
+	since   []time.Time
 	status  map[string]int
-	slows   int
+	resumed int
+	goneOn  int
+	mixed   int
+	whole   int
 }
 
-// slow reports whether the platform is slow.
-func (c *run) slow(now time.Time) bool {
-	return c.trouble && !c.begin.IsZero() && now.Sub(c.begin) < playFor && now.Sub(c.begin)%roundFor < slowFor
+// server is one sound server.
+type server struct {
+	c                    *run
+	id, service, version string
 }
 
-func (c *run) startServer(i int) error {
-	s := &server{c: c, id: fmt.Sprintf("i-%08x", rand.Uint32()), addr: c.b.ServerAddr(i), begun: time.Now(), born: time.Now().UnixMilli()}
-	l, err := net.Listen("tcp", s.addr)
+func serviceName(n int) string { return fmt.Sprintf("llm-%d", n) }
+
+func (c *run) startServer(i, service int, version string) error {
+	s := &server{c: c, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: serviceName(service), version: version}
+	l, err := net.Listen("tcp", c.b.ServerAddr(i))
 	if err != nil {
 		return err
 	}
-	s.http = &http.Server{Handler: s}
-	go func() { _ = s.http.Serve(l) }()
+	go func() { _ = http.Serve(l, s) }()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.all = append(c.all, s)
+	c.all = append(c.all, bed.Instance{ID: s.id, Born: time.Now().UnixMilli(), Service: s.service, Address: c.b.ServerAddr(i), Zone: "fukuoka", Version: version, Slots: slots, State: "ready"})
+	c.since = append(c.since, time.Now())
 	return nil
 }
 
-// stateAt returns what the list says of the server for an instant; false if it isn't listed.
-func (s *server) stateAt(at time.Time) (string, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case at.Before(s.begun), !s.goneAt.IsZero() && !at.Before(s.goneAt):
-		return "", false
-	case !s.drainsAt.IsZero() && !at.Before(s.drainsAt):
-		return "draining", true
-	}
-	return "ready", true
-}
-
-// instances is the list as of an instant.
-func (c *run) instances(at time.Time) []bed.Instance {
+// list is the platform's list, as it was listLag ago.
+func (c *run) list() []bed.Instance {
+	at := time.Now().Add(-listLag)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []bed.Instance
-	for _, s := range c.all {
-		if state, listed := s.stateAt(at); listed {
-			out = append(out, bed.Instance{ID: s.id, Born: s.born, Service: service, Address: s.addr, Zone: "fukuoka", Version: "v1", Slots: slots, State: state})
+	out := []bed.Instance{}
+	for i, in := range c.all {
+		if !at.Before(c.since[i]) {
+			out = append(out, in)
 		}
 	}
 	return out
 }
 
-// list answers a call for the list. While the platform is slow the answer takes its time.
-func (c *run) list() []bed.Instance {
-	now := time.Now()
-	out := c.instances(now.Add(-listLag))
-	if c.slow(now) {
-		time.Sleep(time.Duration(rand.Int64N(int64(slowest))))
-		c.mu.Lock()
-		c.slows++
-		c.mu.Unlock()
-	}
-	return out
-}
-
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	now := time.Now()
 	id := r.Header.Get("Request-Id")
-	state, _ := s.stateAt(now)
-	if id != "" {
-		w.Header().Set("Request-Id", id)
-	}
 	w.Header().Set("Instance-Id", s.id)
-	if state == "draining" {
-		w.Header().Set("Connection", "close")
-		w.Header().Set("Server-Leaving", "1")
+	if id == "" {
+		return // the health path
 	}
-	switch {
-	case r.URL.Path == "/health":
-		if state == "draining" {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-		return
-	case r.Header.Get("Target-Instance") != s.id:
+	w.Header().Set("Request-Id", id)
+	if r.Header.Get("Target-Instance") != s.id {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	s.c.arrival(s, id, now)
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Response-Signature", "sig-"+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := http.NewResponseController(w)
-	for n := range events {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n+1, n+1, id); err != nil {
+	for n := last + 1; n <= events; n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d by %s %s\n\n", n, n, s.version, s.id); err != nil {
 			return
 		}
-		if err := out.Flush(); err != nil {
+		if out.Flush() != nil {
 			return
 		}
 		time.Sleep(eventGap)
 	}
 }
 
-// arrival judges one request that reached a server. The time runs from the moment when the list shows
-// that the server drains, and not while the platform is slow; the machines are in touch contactMs after
-// that. What the requester had sent before doesn't count.
-func (c *run) arrival(s *server, id string, now time.Time) {
-	s.mu.Lock()
-	drainsAt := s.drainsAt
-	s.mu.Unlock()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.arrived++
-	if drainsAt.IsZero() {
-		return
-	}
-	shown := drainsAt.Add(listLag)
-	ran := time.Duration(0) // of the time that counts
-	for t := shown; t.Before(now); t = t.Add(time.Millisecond) {
-		if !c.slow(t) {
-			ran += time.Millisecond
-		}
-	}
-	inTouch := true
-	for t := now.Add(-contact); t.Before(now); t = t.Add(10 * time.Millisecond) {
-		inTouch = inTouch && !c.slow(t)
-	}
-	c.b.Logf("%s, which the list has shown as draining for %.2f s (%.2f s of them count), gets %s", s.id, now.Sub(shown).Seconds(), ran.Seconds(), id)
-	if inTouch && ran > drainMS*time.Millisecond && c.sentAt[id].Sub(shown) > drainMS*time.Millisecond && now.Sub(c.sentAt[id]) < time.Second {
-		c.late++
-		c.isLate[id] = true
-		c.b.Logf("DRAIN: %s reached %s later than %d ms", id, s.id, drainMS)
-	}
+// stream is what a requester has got of one stream, over all its tries.
+type stream struct {
+	first    string // id of the try that brought the first event
+	last     int
+	versions map[string]int
+	whole    bool
 }
 
-// requester sends requests to a machine, several at a time.
-func (c *run) requester(h *bed.Host, wg *sync.WaitGroup) {
-	defer wg.Done()
-	client := &http.Client{Timeout: 12 * time.Second}
-	for i := 0; time.Since(c.begin) < playFor-7*time.Second; i++ {
-		id := fmt.Sprintf("%s-%05d-%08x", h.Name, i, rand.Uint32())
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			c.request(client, h, id)
-		}()
-		time.Sleep(time.Duration(rand.Int64N(int64(2 * sendGap))))
-	}
-}
-
-func (c *run) request(client *http.Client, h *bed.Host, id string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+h.Front()+prefix+"2f", strings.NewReader("draft "+id))
+// try sends one try and reads what comes.
+func (c *run) try(client *http.Client, h *bed.Host, path, id string, s *stream) (status string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+h.Front()+path, strings.NewReader("draft"))
 	if err != nil {
-		return
+		return err.Error()
 	}
 	req.Host = hostName
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Request-Deadline", "12000")
-	c.mu.Lock()
-	c.sentAt[id] = time.Now()
-	c.mu.Unlock()
-	status, pieces := "no answer", 0
-	if resp, err := client.Do(req); err == nil {
-		body, err := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-		status = strconv.Itoa(resp.StatusCode)
-		if pieces = strings.Count(string(body), "data: "); resp.StatusCode == http.StatusOK && (err != nil || pieces < events) {
-			status += " cut"
-		}
+	if s.last > 0 {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(s.last))
+		req.Header.Set("Resumes", s.first)
 	}
-	c.b.Logf("requester sent %s to %s and got %s, %d pieces", id, h.Name, status, pieces)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.status[status]++
-	if strings.HasSuffix(status, " cut") {
-		if c.isLate[id] {
-			c.lost++
-			c.b.Logf("%s, which reached its server late, is cut by the end of the server and lost", id)
+	resp, err := client.Do(req)
+	if err != nil {
+		return "no answer"
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return strconv.Itoa(resp.StatusCode)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if data, ok := strings.CutPrefix(lines.Text(), "data: piece "); ok {
+			var n int
+			var version, by string
+			if _, err := fmt.Sscanf(data, "%d by %s %s", &n, &version, &by); err != nil {
+				continue
+			}
+			if s.last == 0 {
+				s.first = id
+			}
+			s.last = n
+			s.versions[version]++
 		}
 	}
+	s.whole = lines.Err() == nil && s.last == events
+	if !s.whole {
+		return "200 cut"
+	}
+	return "200"
 }
 
-// release replaces servers one after the other: the new one starts first, the old one drains.
-func (c *run) release(n int) int {
-	for i := range perRound {
-		if err := c.startServer(n); err != nil {
-			c.b.Logf("a server did not start: %v", err)
-			return n
-		}
-		n++
-		c.mu.Lock()
-		var old *server
-		for _, s := range c.all {
-			if s.drainsAt.IsZero() {
-				old = s
+// request sends one request and takes its stream up once where it is cut.
+func (c *run) request(client *http.Client, hosts []*bed.Host, h *bed.Host, path, id string) {
+	s := &stream{versions: map[string]int{}}
+	what := c.try(client, h, path, id+"-1", s)
+	c.b.Logf("%s sent to %s: %s, %d events, %v", id, h.Name, what, s.last, s.versions)
+	if what == "200 cut" && s.last > 0 {
+		before := s.last
+		for n := 2; n <= 3 && !s.whole; n++ {
+			o := hosts[rand.IntN(len(hosts))]
+			for o == h {
+				o = hosts[rand.IntN(len(hosts))]
+			}
+			again := c.try(client, o, path, fmt.Sprintf("%s-%d", id, n), s)
+			c.b.Logf("%s taken up at %s after event %d: %s, %d events, %v", id, o.Name, before, again, s.last, s.versions)
+			if again != "no answer" {
 				break
 			}
 		}
+		c.mu.Lock()
+		c.resumed++
+		if s.last > before {
+			c.goneOn++
+		}
 		c.mu.Unlock()
-		old.mu.Lock()
-		old.drainsAt = time.Now()
-		old.goneAt = old.drainsAt.Add(lingerFor)
-		old.mu.Unlock()
-		c.b.Logf("%s drains (%d of the round)", old.id, i+1)
-		time.AfterFunc(lingerFor, func() { _ = old.http.Close() })
-		time.Sleep(gap)
 	}
-	return n
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.status[what]++
+	if s.whole {
+		c.whole++
+	}
+	if len(s.versions) > 1 {
+		c.mixed++
+		c.b.Logf("ORDER: %s holds events of two software versions: %v", id, s.versions)
+	}
+}
+
+func (c *run) requester(h *bed.Host, path string, stop <-chan struct{}, wg *sync.WaitGroup) {
+	defer wg.Done()
+	client := &http.Client{Timeout: 12 * time.Second}
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(sendGap/2 + time.Duration(rand.Int64N(int64(sendGap)))):
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.request(client, c.b.Hosts, h, path, fmt.Sprintf("%s-%s-%05d", strings.Trim(path, "/"), h.Name, i))
+		}()
+	}
 }
 
 func play(record string) (int, error) {
@@ -283,9 +234,10 @@
 		return 2, err
 	}
 	defer b.Stop()
-	c := &run{b: b, trouble: os.Getenv("TROUBLE") != "0", sentAt: map[string]time.Time{}, isLate: map[string]bool{}, status: map[string]int{}}
-	for i := range servers {
-		if err := c.startServer(i); err != nil {
+	b.Site = bed.Rcalo
+	c := &run{b: b, trouble: os.Getenv("TROUBLE") != "0", status: map[string]int{}}
+	for n := range rounds * servers {
+		if err := c.startServer(n, n/servers, "v1"); err != nil {
 			return 2, err
 		}
 	}
@@ -294,41 +246,94 @@
 	if err := b.Start(); err != nil {
 		return 2, err
 	}
-	cfg := bed.Config{Version: 3, Limits: bed.DefaultLimits(),
-		Routes:   []bed.Route{{Name: "r-draft", Host: hostName, PathPrefix: prefix, RouteType: "streaming", TimeoutMS: 12000, SLOMS: 300, Priority: 1, Service: service, Attempts: 1}},
-		Services: []bed.Service{{Name: service, HealthPath: "/health", MaxConns: 130, Protocol: "h1"}}}
+	cfg := bed.Config{Version: 3, Limits: bed.DefaultLimits()}
+	for n := range rounds {
+		cfg.Routes = append(cfg.Routes, bed.Route{Name: fmt.Sprintf("r-%d", n), Host: hostName, PathPrefix: fmt.Sprintf("/s%d/", n), RouteType: "streaming", TimeoutMS: 12000, SLOMS: 300, Priority: 1, Service: serviceName(n), Attempts: 2, CanResume: true, MaxGapMS: 250})
+		cfg.Services = append(cfg.Services, bed.Service{Name: serviceName(n), HealthPath: "/health", MaxConns: 390, Protocol: "h1"})
+	}
 	if _, err := b.PutUntilAcked(cfg.Encode(), 15*time.Second); err != nil {
 		return 2, err
 	}
 	if err := b.Ready(15 * time.Second); err != nil {
 		return 2, err
 	}
-	c.begin = time.Now()
-	var wg sync.WaitGroup
-	for _, h := range b.Hosts {
-		wg.Add(1)
-		go c.requester(h, &wg)
-	}
-	next := servers
-	for round := 0; time.Duration(round+1)*roundFor <= playFor; round++ {
-		time.Sleep(time.Until(c.begin.Add(time.Duration(round)*roundFor + firstAt)))
-		next = c.release(next)
+	time.Sleep(alone)
+	victims := rand.Perm(len(b.Hosts))[:herd]
+	for n := range rounds {
+		begin := time.Now()
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		for _, h := range b.Hosts {
+			wg.Add(1)
+			go c.requester(h, fmt.Sprintf("/s%d/", n), stop, &wg)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		if err := c.disturb(n, victims); err != nil {
+			return 2, err
+		}
+		close(stop)
+		wg.Wait()
+		time.Sleep(time.Until(begin.Add(roundGap)))
 	}
-	wg.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	summary := fmt.Sprintf("answers %v; %d requests reached servers, %d of them later than drainMs, of which %d were cut by the end of the server; %d slow answers of the platform", c.status, c.arrived, c.late, c.lost, c.slows)
+	summary := fmt.Sprintf("first tries %v; %d streams whole; %d taken up, %d of them went on; %d hold events of two software versions", c.status, c.whole, c.resumed, c.goneOn, c.mixed)
 	b.Logf("%s", summary)
 	fmt.Println(summary)
 	switch {
-	case c.status["200"] == 0:
+	case c.whole == 0:
 		return 2, nil
-	case c.late > 0:
+	case c.mixed > allowed:
 		return 1, nil
 	}
 	return 0, nil
 }
 
+// disturb kills all that serve control, adds servers of another version to a service, and kills some
+// entries.
+func (c *run) disturb(n int, victims []int) error {
+	begin := time.Now()
+	at := func(d time.Duration) { time.Sleep(time.Until(begin.Add(d))) }
+	c.b.Logf("control is killed on all machines with a disk and is down for %v", downFor)
+	if c.trouble {
+		for _, h := range c.b.Hosts[:disks] {
+			h.Signal("control", syscall.SIGKILL)
+		}
+	}
+	at(addFirst + time.Duration(n)*addLater)
+	for i := range added {
+		if err := c.startServer(rounds*servers+n*added+i, n, "v2"); err != nil {
+			return err
+		}
+	}
+	c.b.Logf("%d servers of version v2 start for %s", added, serviceName(n))
+	at(herdAt)
+	for _, v := range victims {
+		c.b.Logf("the entry of %s is killed", c.b.Hosts[v].Name)
+		if c.trouble {
+			c.b.Hosts[v].Signal("entry", syscall.SIGKILL)
+		}
+	}
+	at(downFor)
+	if !c.trouble {
+		return nil
+	}
+	for _, h := range c.b.Hosts[:disks] {
+		h.Kill("control")
+		if err := h.Start("control", false); err != nil {
+			return err
+		}
+	}
+	at(herdAt + time.Second)
+	for _, v := range victims {
+		c.b.Hosts[v].Kill("entry")
+		if err := c.b.Hosts[v].Start("entry", false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func main() {
 	code, err := play(os.Args[1])
 	if err != nil {
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -62,8 +62,9 @@
 	ListCallsPerSec float64
 }
 
-// Kyu is the site kyu-outage, and CorribGrown the site corrib-bookings-grown.
+// Kyu is the site kyu-outage, Rcalo the site rcalo-renew, and CorribGrown the site corrib-bookings-grown.
 var (
+	Rcalo       = Site{Machines: 1, ContactMS: 3000, AckMS: 4000, CatchUpS: 4, DrainMS: 3000, ConfigApplyMS: 2000, MaxStretchMS: 5000, RetrySlack: 62, RecoverS: 12, PassMS: 120, RequireFence: true, LinkMbps: 1000, MemoryMB: 284, ListCallsPerSec: 47}
 	Kyu         = Site{Machines: 1, ContactMS: 3000, AckMS: 4000, CatchUpS: 4, DrainMS: 3000, ConfigApplyMS: 2000, MaxStretchMS: 5000, RetrySlack: 64, RecoverS: 12, PassMS: 120, RequireFence: true, LinkMbps: 1000, MemoryMB: 284, ListCallsPerSec: 47}
 	CorribGrown = Site{Machines: 2, ContactMS: 4000, AckMS: 5000, CatchUpS: 6, DrainMS: 4000, ConfigApplyMS: 2500, MaxStretchMS: 6000, RetrySlack: 92, RecoverS: 15, PassMS: 200, LinkMbps: 100, MemoryMB: 184, ListCallsPerSec: 47}
 )
@@ -352,6 +353,8 @@
 	Priority   int    `json:"priority"`
 	Service    string `json:"service"`
 	Attempts   int    `json:"attempts"`
+	CanResume  bool   `json:"canResume"`
+	MaxGapMS   int    `json:"targetGapMs,omitempty"`
 }
 
 // Service is a service of a configuration.
