--- a/review/1/main.go
+++ b/review/1/main.go
@@ -24,9 +24,9 @@
 	hostName = "ficu95.example"
 
 	logBytes   = 4 << 20 // of changes, after which control compacts its log
-	largeBytes = 400_000 // one large change as it is in the log
+	largeBytes = 330_000 // one large change as it is in the log
 	smallBytes = 10_000  // one small change
-	fillBytes  = 300_000 // one of the changes before
+	fillBytes  = 100_000 // one of the changes before
 
 	firstFrozenFor = 7 * time.Second // node_freeze; the site's longest is 7.8 s
 	herdDown       = 2 * time.Second // herd_kill; the site's for_s
