release: an endpoint that tells no version is remembered like one that does

What callers see: a stream that an endpoint without a version began may go on at one with a version, and nothing in the answer shows it.

Cause: once a list showed that all endpoints of a service tell their releases, it was forgotten at once that some had not; those were taken for ones of an earlier leader, which knew no releases. After the kill nobody remembers where the stream began, and one release alone seems to have served.

Price: for 30 s after an update from a leader that knows no releases, streams of unknown origin are refused.

The expectation of TestOnlyReleaseOfAService that the first list without such an endpoint decides was the fault; in its place the test asks for the refusal until the endpoint is forgotten, and for the answer afterwards.

--- a/internal/core/release/history.go
+++ b/internal/core/release/history.go
@@ -19,8 +19,8 @@
 }
 
 // Listed records a whole list: the releases of all its endpoints, by service. asOf is an instant before
-// the list was read; zero if it is not known. Once all endpoints of a service tell their releases, it is
-// forgotten that some did not: the list may have come from a process that knew none.
+// the list was read; zero if it is not known. An endpoint that tells no release counts as one of another
+// release than all that are told, and is remembered like these.
 func (h *History) Listed(now, asOf time.Time, names map[string][]Name) {
 	if asOf.After(h.asOf) {
 		if now.Sub(h.asOf) > ListGap {
@@ -29,9 +29,6 @@
 		h.asOf = asOf
 	}
 	for service, ns := range names {
-		if !slices.Contains(ns, "") {
-			delete(h.services[service], "")
-		}
 		h.Heard(now, service, ns...)
 	}
 	for service, seen := range h.services {
--- a/internal/core/release/release_test.go
+++ b/internal/core/release/release_test.go
@@ -34,7 +34,10 @@
 	_, one = Only([]Name{"v1"}, []Name{"v2"})
 	is.True(!one)
 	list(late, "t", "")
-	list(late.Add(time.Second), "t", "v1") // a new leader knows what the old one did not
+	list(late.Add(time.Second), "t", "v1") // an endpoint that tells none is gone, its streams may come again
+	_, one = Only(h.Names("t"))
+	is.True(!one)
+	list(late.Add(StreamLife+time.Second), "t", "v1")
 	n, one = Only(h.Names("t"))
 	is.True(one && n == "v1")
 	list(late, "u", "", "v1") // one endpoint does not tell: it may be any
--- a/internal/core/release/schedules_test.go
+++ b/internal/core/release/schedules_test.go
@@ -18,24 +18,29 @@
 	noWait      worldMutation = "releases are settled as soon as they are listed"
 	noLeader    worldMutation = "streams begin at every release that an entry lists"
 	noLog       worldMutation = "releases are settled before the log names them"
+	noWord      worldMutation = "streams begin at every release while no leader has told of any"
 )
 
 const (
 	worldLag   = 800 * time.Millisecond
 	worldSteps = 600
+	// maxTries is how long a caller comes back after its stream began.
+	maxTries = 25 * time.Second
 )
 
 // releaseWorld is one random schedule of a service: entries that read the list themselves or hear of it
 // from the leader, both late, restart and lose what they knew; leaders that change, or cannot be
-// reached, or lead without a word of it to the log; releases that come and go.
+// reached, or lead without a word of it to the log; all processes killed at once, with what the log had
+// not acknowledged kept or gone; releases that come and go, one of which its endpoints do not tell.
 type releaseWorld struct {
 	rnd     *rand.Rand
 	mut     worldMutation
+	harsh   bool // all processes may be killed at once, and one release is not told
 	now     time.Time
 	lives   map[Name][2]time.Time // first and last instant at which a release serves
 	next    int
 	leader  *leaderProcess // nil while there is none
-	logged  struct{ served, settled Served }
+	logged  releaseNote
 	entries []*entryProcess
 	begun   []begunStream
 	unrest  time.Time // until then leaders are lost often
@@ -43,21 +48,27 @@
 	mixed, takenUp, refused, inferred int
 }
 
+// releaseNote is what the log says.
+type releaseNote struct{ served, settled Served }
+
 type leaderProcess struct {
 	history    History
 	origins    Origins
 	settlement *Settlement
 	names      []Name // as last listed
 	asOf       time.Time
-	settled    Served
+	settled    Served       // as noted in the log
+	note       *releaseNote // not acknowledged yet
+	published  bool
 }
 
 type entryProcess struct {
-	history   History
-	origins   Origins
-	names     []Name // as last listed
-	settled   Served
-	connected bool // it and the leader reach each other
+	history    History
+	origins    Origins
+	names      []Name // as last listed
+	settled    Served // nil until a leader has told
+	configured bool   // it accepts requests: it has reached a leader since it started
+	connected  bool   // it and the leader reach each other
 }
 
 type begunStream struct {
@@ -67,7 +78,7 @@
 }
 
 func newReleaseWorld(seed uint64, mut worldMutation) *releaseWorld {
-	w := &releaseWorld{rnd: rand.New(rand.NewPCG(seed, 3)), mut: mut, now: time.Unix(1e6, 0), lives: map[Name][2]time.Time{}}
+	w := &releaseWorld{rnd: rand.New(rand.NewPCG(seed, 3)), mut: mut, harsh: seed%2 == 1, now: time.Unix(1e6, 0), lives: map[Name][2]time.Time{}}
 	w.release()
 	for range 4 {
 		w.entries = append(w.entries, &entryProcess{connected: true})
@@ -78,9 +89,16 @@
 
 func (w *releaseWorld) chance(p float64) bool { return w.rnd.Float64() < p }
 
+// untold is the number of the release that its endpoints do not tell.
+const untold = 2
+
 // release has another release come, which serves until retire.
 func (w *releaseWorld) release() {
-	w.lives[Name(fmt.Sprint("v", w.next))] = [2]time.Time{w.now, w.now.Add(24 * time.Hour)}
+	n := Name(fmt.Sprint("v", w.next))
+	if w.harsh && w.next == untold {
+		n = ""
+	}
+	w.lives[n] = [2]time.Time{w.now, w.now.Add(24 * time.Hour)}
 	w.next++
 }
 
@@ -97,7 +115,9 @@
 
 // retire has the oldest release go, with all its endpoints.
 func (w *releaseWorld) retire() {
-	if ns := w.serving(w.now); len(ns) > 1 {
+	ns := w.serving(w.now)
+	slices.SortFunc(ns, func(a, b Name) int { return w.lives[a][0].Compare(w.lives[b][0]) })
+	if len(ns) > 1 {
 		w.lives[ns[0]] = [2]time.Time{w.lives[ns[0]][0], w.now}
 	}
 }
@@ -128,23 +148,52 @@
 	if w.mut == noLog {
 		l.settled = served
 	}
-	if w.chance(0.4) {
-		w.logged.served, w.logged.settled = served, settled
-		l.settled = settled
+	if l.note == nil && !(served.Equal(w.logged.served) && settled.Equal(w.logged.settled)) {
+		l.note = &releaseNote{served, settled}
 	}
+	if l.note != nil && w.chance(0.4) {
+		w.logged, l.settled, l.note = *l.note, l.note.settled, nil
+	}
+	l.published = l.published || !l.asOf.IsZero() && l.note == nil
+}
+
+// loseLeader ends the leader. What the log has not acknowledged is kept or gone.
+func (w *releaseWorld) loseLeader() {
+	if w.leader != nil && w.leader.note != nil && w.chance(0.5) {
+		w.logged = *w.leader.note
+	}
+	w.leader = nil
+}
+
+// killAll ends all processes at once; the oldest release may have left just before, or leaves with them.
+func (w *releaseWorld) killAll() {
+	if w.chance(0.5) {
+		w.retire()
+	}
+	w.now = w.now.Add(time.Duration(w.rnd.IntN(800)) * time.Millisecond)
+	if w.chance(0.3) {
+		w.retire()
+	}
+	w.loseLeader()
+	for _, e := range w.entries {
+		*e = entryProcess{connected: true}
+	}
+	w.now = w.now.Add(time.Second)
+	w.elect()
 }
 
 // follow has an entry hear from the leader, or else read the list itself.
 func (w *releaseWorld) follow(e *entryProcess) {
-	if w.reaches(e) {
-		if w.leader.asOf.IsZero() {
-			return
-		}
+	e.configured = e.configured || w.reaches(e)
+	if w.reaches(e) && w.leader.published {
 		w.tell(e)
 		e.names, e.settled = w.leader.names, w.leader.settled
 		e.history.Listed(w.now, w.leader.asOf, map[string][]Name{"s": e.names})
 		return
 	}
+	if !e.configured {
+		return
+	}
 	e.names = w.list()
 	e.history.Listed(w.now, w.now, map[string][]Name{"s": e.names})
 }
@@ -186,7 +235,9 @@
 	case w.chance(0.01): // an entry restarts
 		*e = entryProcess{connected: e.connected}
 	case w.leader != nil && w.chance(w.leaderLoss()):
-		w.leader = nil
+		w.loseLeader()
+	case w.harsh && w.chance(0.01):
+		w.killAll()
 	case w.leader == nil && w.chance(0.1):
 		w.elect()
 	case w.chance(0.03):
@@ -201,7 +252,7 @@
 func (w *releaseWorld) begin(e *entryProcess) {
 	var may []Name
 	for _, n := range w.serving(w.now) {
-		if slices.Contains(e.names, n) && (e.settled.Has("s", n) || w.mut == noLeader && e.settled != nil) {
+		if slices.Contains(e.names, n) && (e.settled.Has("s", n) || w.mut == noLeader && e.settled != nil || w.mut == noWord && e.settled == nil) {
 			may = append(may, n)
 		}
 	}
@@ -218,11 +269,11 @@
 
 // takeUp has a caller take up one of the last streams at an entry.
 func (w *releaseWorld) takeUp(e *entryProcess) {
-	if len(w.begun) == 0 || e.settled == nil {
-		return // the entry has not heard of a leader yet
+	if len(w.begun) == 0 || !e.configured {
+		return
 	}
 	s := w.begun[len(w.begun)-1-w.rnd.IntN(min(4, len(w.begun)))]
-	if w.now.Sub(s.at) > StreamLife/2 {
+	if w.now.Sub(s.at) > maxTries {
 		return
 	}
 	n, found := e.origins.Find(w.now, s.id)
@@ -252,7 +303,7 @@
 	if n, err := strconv.ParseUint(os.Getenv("CASSIAPASS_SCHEDULES"), 10, 32); err == nil {
 		return n
 	}
-	return 1000
+	return 2000
 }
 
 // playSchedules returns the sums over random schedules, with a mutation up to the first mixed stream.
@@ -285,7 +336,7 @@
 
 // Shows that the schedules detect the absence of each safeguard.
 func TestSchedulesDetectMissingSafeguards(t *testing.T) {
-	for _, mut := range []worldMutation{noWait, noLeader, noLog} {
+	for _, mut := range []worldMutation{noWait, noLeader, noLog, noWord} {
 		t.Run(string(mut), func(t *testing.T) {
 			w := playSchedules(mut)
 			t.Logf("%d streams taken up, %d refused, %d mixed", w.takenUp, w.refused, w.mixed)
