gateway: streams begin at no release that no leader has spoken of

What callers see: after all processes were killed, streams may begin at a version that the log does not name. If the entry ends again, another one or the leader may take the version that it lists for the only one, and join two.

Cause: an entry that no leader had told of any release took all for settled. An entry gets its deployment from a new leader before that has read the list and noted the releases, reads the list itself meanwhile, and begins.

Price: such streams wait for the leader's first publication after a start; other requests do not.

--- a/internal/app/gateway/release_test.go
+++ b/internal/app/gateway/release_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/release"
 )
 
@@ -171,3 +172,23 @@
 	})
 	is.Equal(dial(t, g).ask("POST", "/resume/", "r", "x").body, releaseEvents(1, 4, "v2"))
 }
+
+// Guards against streams of two releases in one: an entry that has just started, with a deployment but
+// without a leader's word on releases, begins streams at a release that the log does not name.
+func TestNoStreamBeginsBeforeALeadersWordOnReleases(t *testing.T) {
+	is := is.New(t)
+	a := releaseEndpoint(t, "v2", false)
+	g, err := New(testConfig())
+	is.NoErr(err)
+	t.Cleanup(g.Kill)
+	g.table.Store(deploy.NewTable(testDeployment()))
+	publishSuspects(g, 1)
+	eps := listed(a)
+	eps[0].Release = "v2"
+	g.dir.applyList(time.Now(), eps) // read by the entry itself
+	is.Equal(dial(t, g).ask("POST", "/resume/", "r", "x").status, http.StatusServiceUnavailable)
+	is.Equal(a.arrivals(), 0)
+	is.Equal(dial(t, g).ask("POST", "/stream/", "s", "x").status, http.StatusOK) // nobody takes it up
+	g.dir.replace(1, 1, eps)
+	is.Equal(dial(t, g).ask("POST", "/resume/", "r2", "x").body, releaseEvents(1, 4, "v2"))
+}
--- a/internal/app/gateway/settled.go
+++ b/internal/app/gateway/settled.go
@@ -14,14 +14,14 @@
 }
 
 // setSettled has an endpoint and what is known of its release agree: the leader's word counts, and
-// where the entry has read the list itself, what the leader said before. An entry that no leader has
-// told of any release knows of none that is not settled. The caller holds mu.
+// where the entry has read the list itself, what the leader said before. A release that no leader has
+// spoken of is not settled: after a start of all processes the log may not name it. The caller holds mu.
 func (d *directory) setSettled(ep *fleet.Endpoint, fromLeader bool) {
 	key := serviceRelease{ep.Service, ep.Release}
 	switch {
 	case !fromLeader:
 		_, settled := d.settled[key]
-		ep.Unsettled = d.term != 0 && !settled
+		ep.Unsettled = !settled
 	case ep.Unsettled:
 		delete(d.settled, key)
 	default:
