release, controller, gateway: the log names which release began a stream

Cause: the leader's directory of origins was in memory only, as were the entries'. What a stream is bound to was known only to processes that the same fault ends.

Change: where a service has several releases, the leader notes the origins that entries report in the replicated log, in groups at most every 50 ms; the state keeps them for the life of a stream in two bounded generations. A new leader begins with them. An entry that reaches no leader asks up to four other control hosts: what the log names is true whoever reads it. The first event does not wait for the note: a stream that began in the last 0.1 s before the fault is not known and refused, as before, never guessed. While one release serves nothing is noted and no message more is sent.

--- a/internal/app/control/deployment.go
+++ b/internal/app/control/deployment.go
@@ -188,6 +188,27 @@
 	return err
 }
 
+// FindStream returns the release that began a stream, if the log names it as this host has applied it.
+func (c *Control) FindStream(id release.StreamID) (release.Name, bool) {
+	var n release.Name
+	found := false
+	_ = c.loop.do(func() { n, found = c.loop.st.FindStream(id) })
+	return n, found
+}
+
+// Streams returns all streams of which the log names the release that began them.
+func (c *Control) Streams() release.Origins {
+	var out release.Origins
+	_ = c.loop.do(func() { out = c.loop.st.Streams() })
+	return out
+}
+
+// CommitStreams records in the log which releases began streams. It fails on a host that does not lead.
+func (c *Control) CommitStreams(ctx context.Context, n release.Note) error {
+	_, err := c.proposeHere(ctx, state.Command{By: "control", Streams: n})
+	return err
+}
+
 // notifyDeployment calls onDeploy if the deployment has changed. It runs in the
 // loop.
 func (l *loop) notifyDeployment() {
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -107,6 +107,11 @@
 	// lead.
 	Releases() (served, settled release.Served)
 	CommitReleases(ctx context.Context, served, settled release.Served) error
+	// FindStream returns the release that began a stream, and Streams all such streams, as this host has
+	// applied the log. CommitStreams notes further ones; it fails on a host that does not lead.
+	FindStream(id release.StreamID) (release.Name, bool)
+	Streams() release.Origins
+	CommitStreams(ctx context.Context, n release.Note) error
 }
 
 // Controller plans and publishes for one control host while that host leads.
@@ -273,7 +278,7 @@
 	c.allow.startLeading()
 	c.limits.startLeading(now, term)
 	served, settled := c.host.Releases()
-	c.streams.startLeading(now, served, settled)
+	c.streams.startLeading(now, served, settled, c.host.Streams())
 	// A starting entry gets these with its first answer, before it accepts a request.
 	c.publishSuspects(now)
 }
@@ -293,6 +298,7 @@
 	c.commitDueQuarantines(now)
 	c.publishNotices(now)
 	c.commitReleases(now)
+	c.noteStreams(now)
 	c.planner.SetByLevel(c.enabled(feature.Urgency))
 	if c.listOK && c.fencedTerm != c.term && c.holding.recorded {
 		c.planner.SetForesight(c.enabled(feature.Foresight))
--- a/internal/app/controller/controller_test.go
+++ b/internal/app/controller/controller_test.go
@@ -31,6 +31,7 @@
 // testHost is a control host whose leadership is set by the test.
 type testHost struct {
 	releases  release.Served
+	streams   release.Origins
 	settled   release.Served
 	mu        sync.Mutex
 	lead      control.LeaderStatus
@@ -87,6 +88,23 @@
 	return nil
 }
 
+func (l *testHost) FindStream(id release.StreamID) (release.Name, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.streams.Lookup(id)
+}
+
+func (l *testHost) Streams() release.Origins {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.streams.Clone()
+}
+
+func (l *testHost) CommitStreams(_ context.Context, n release.Note) error {
+	l.set(func() { l.streams.Record(time.Now(), n) })
+	return nil
+}
+
 func (l *testHost) Poison() poison.Registry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/app/controller/metrics.go
+++ b/internal/app/controller/metrics.go
@@ -59,3 +59,8 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cassiapass_fleet_loads_total{source=%q}`, s.Source)).Inc()
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`cassiapass_fleet_load_seconds{source=%q}`, s.Source)).Update(s.Took.Seconds())
 }
+
+// countNoted counts streams of which the log names the release that began them.
+func (m *metrics) countNoted(n int) {
+	m.set.GetOrCreateCounter("cassiapass_fleet_streams_noted_total").Add(n)
+}
--- a/internal/app/controller/streams.go
+++ b/internal/app/controller/streams.go
@@ -10,9 +10,17 @@
 	"github.com/cassiapass/cassiapass/internal/wire"
 )
 
+const (
+	// noteInterval is the minimum time between two notes of begun streams in the log: what has begun
+	// since the last one is not known after all processes have ended.
+	noteInterval = 50 * time.Millisecond
+	// maxNoted bounds the streams of one note: 90 kB.
+	maxNoted = 4096
+)
+
 // streamOrigins is what this leader knows of which releases began streams. Calls are answered outside
-// the controller's loop. A new leader begins with the releases that the log names; entries report again
-// which streams they know.
+// the controller's loop. A new leader begins with the releases and streams that the log names; entries
+// report again which streams they know.
 type streamOrigins struct {
 	wait time.Duration // of release.Settlement
 
@@ -23,6 +31,9 @@
 	settlement *release.Settlement
 	logged     loggedReleases // newest in the log, as far as this leader knows
 	committing bool           // a commit is under way
+	unnoted    []release.Origin
+	notedAt    time.Time
+	noting     bool // a note is under way
 }
 
 // loggedReleases is what the log says of releases.
@@ -31,10 +42,11 @@
 	by              *release.Settlement // of the leadership that commits it
 }
 
-func (s *streamOrigins) startLeading(now time.Time, served, settled release.Served) {
+func (s *streamOrigins) startLeading(now time.Time, served, settled release.Served, noted release.Origins) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leading, s.origins, s.history, s.logged, s.committing = true, release.Origins{}, release.History{}, loggedReleases{served: served, settled: settled}, false
+	s.leading, s.origins, s.history, s.logged, s.committing = true, noted.From(now), release.History{}, loggedReleases{served: served, settled: settled}, false
+	s.unnoted, s.noting = nil, false
 	s.settlement = release.NewSettlement(now, s.wait, served, settled)
 	for service, names := range served {
 		s.history.Heard(now, service, names...)
@@ -76,6 +88,58 @@
 	return s.committing
 }
 
+// streamNote is what a leadership is to note in the log.
+type streamNote struct {
+	origins []release.Origin
+	by      *release.Settlement // of that leadership
+}
+
+// takeUnnoted returns the streams to note in the log now, if there are any.
+func (s *streamOrigins) takeUnnoted(now time.Time) (streamNote, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leading || s.noting || len(s.unnoted) == 0 || now.Sub(s.notedAt) < noteInterval {
+		return streamNote{}, false
+	}
+	n := min(len(s.unnoted), maxNoted)
+	note := streamNote{s.unnoted[:n:n], s.settlement}
+	s.unnoted, s.notedAt, s.noting = s.unnoted[n:], now, true
+	return note, true
+}
+
+// noted records how a note ended. One that may not be in the log is repeated.
+func (s *streamOrigins) noted(n streamNote, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n.by != s.settlement {
+		return
+	}
+	s.noting = false
+	if err != nil {
+		s.unnoted = append(n.origins, s.unnoted...)
+	}
+}
+
+// noteStreams notes in the log which releases began streams, so that it is known after all processes
+// have ended.
+func (c *Controller) noteStreams(now time.Time) {
+	n, due := c.streams.takeUnnoted(now)
+	if !due {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, commitTimeout)
+		defer cancel()
+		err := c.host.CommitStreams(ctx, release.NoteOf(n.origins))
+		c.streams.noted(n, err)
+		if err != nil {
+			c.cfg.Log.Warn().Int("streams", len(n.origins)).Err(err).Msg("streams_not_noted")
+			return
+		}
+		c.met.countNoted(len(n.origins))
+	}()
+}
+
 // settled returns the releases at which streams may begin: those that the log names as settled.
 func (s *streamOrigins) settled() release.Served {
 	s.mu.Lock()
@@ -133,7 +197,9 @@
 		return wire.StreamResult{}
 	}
 	for _, b := range p.Began {
-		s.origins.Began(now, b.Stream, b.Release)
+		if s.origins.Began(now, b.Stream, b.Release) {
+			s.unnoted = append(s.unnoted, b)
+		}
 	}
 	for service, names := range p.Served {
 		s.history.Heard(now, service, names...)
@@ -150,7 +216,15 @@
 // while a quorum confirms that this host leads: a later leader may know releases that it does not.
 func (c *Controller) findStream(ctx context.Context, p wire.StreamParams) (wire.StreamResult, error) {
 	r := c.streams.report(time.Now(), p)
-	if p.Find == nil || !r.Leading || r.Known {
+	if p.Find == nil || r.Known {
+		return r, nil
+	}
+	if !r.Leading && c.host == nil {
+		return r, nil // still starting
+	}
+	if !r.Leading {
+		// What the log names is true whoever reads it, however late.
+		r.Release, r.Known = c.host.FindStream(*p.Find)
 		return r, nil
 	}
 	l := c.host.LeaderStatus()
--- a/internal/app/controller/streams_test.go
+++ b/internal/app/controller/streams_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"errors"
 	"slices"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
+	"github.com/cassiapass/cassiapass/internal/core/poison"
 	"github.com/cassiapass/cassiapass/internal/core/release"
 	"github.com/cassiapass/cassiapass/internal/wire"
 )
@@ -66,3 +68,53 @@
 	eventually(t, "the leader after that need not", func() bool { return settledIn(t, c, 5, both, nil) })
 	is.True(time.Since(begin) < release.SettleTime(0)/2)
 }
+
+// Guards against streams that nobody goes on with once a leader and all entries that knew them are gone.
+func TestNextLeaderKnowsNotedStreams(t *testing.T) {
+	is := is.New(t)
+	lead := leading(3)
+	c := startController(t, lead, &testFleet{})
+	id := poison.Key("k").Fingerprint([]byte("r"))
+	ask := func() wire.StreamResult {
+		r, err := c.findStream(t.Context(), wire.StreamParams{Host: "e", Find: &id, Service: "s"})
+		is.NoErr(err)
+		return r
+	}
+	eventually(t, "it leads", func() bool { return ask().Leading })
+	is.True(!ask().Known)
+	_, err := c.findStream(t.Context(), wire.StreamParams{Host: "e", Began: []release.Origin{{Stream: id, Release: "v2"}}})
+	is.NoErr(err)
+	eventually(t, "the log names it", func() bool { _, noted := lead.FindStream(id); return noted })
+	lead.set(func() { lead.lead.Leading = false })
+	eventually(t, "a host that does not lead tells it", func() bool { r := ask(); return !r.Leading && r.Known && r.Release == "v2" })
+	lead.set(func() { lead.lead.Leading, lead.lead.Term = true, 4 })
+	eventually(t, "the next leader tells it", func() bool { r := ask(); return r.Leading && r.Known && r.Release == "v2" })
+}
+
+// Guards against streams that the log does not name as a commit has failed.
+func TestFailedNoteIsRepeated(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1e6, 0)
+	var s streamOrigins
+	s.startLeading(now, nil, nil, release.Origins{})
+	for n := range maxNoted + 10 {
+		s.report(now, wire.StreamParams{Began: []release.Origin{{Stream: poison.Key("k").Fingerprint([]byte{byte(n), byte(n >> 8)}), Release: "v1"}}})
+	}
+	first, due := s.takeUnnoted(now)
+	is.True(due && len(first.origins) == maxNoted)
+	_, due = s.takeUnnoted(now.Add(time.Second))
+	is.True(!due) // the first is under way
+	s.noted(first, errors.New("no quorum"))
+	again, due := s.takeUnnoted(now.Add(time.Second))
+	is.True(due)
+	is.Equal(again.origins, first.origins)
+	s.noted(again, nil)
+	_, due = s.takeUnnoted(now.Add(time.Second + noteInterval - 1))
+	is.True(!due)
+	last, due := s.takeUnnoted(now.Add(time.Second + noteInterval))
+	is.True(due && len(last.origins) == 10)
+	s.startLeading(now, nil, nil, release.Origins{})
+	s.noted(last, errors.New("of an earlier leadership"))
+	_, due = s.takeUnnoted(now.Add(time.Minute))
+	is.True(!due)
+}
--- a/internal/app/gateway/streams.go
+++ b/internal/app/gateway/streams.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/release"
@@ -20,6 +22,10 @@
 	releaseRefresh = time.Second
 	// findTimeout bounds the question to the leader which release began a stream.
 	findTimeout = 300 * time.Millisecond
+	// notedTimeout bounds the same question to another control host: one that is gone answers nothing.
+	notedTimeout = 100 * time.Millisecond
+	// maxNotedAsked is how many of these are asked.
+	maxNotedAsked = 4
 )
 
 // streams knows which releases began the streams that this entry passed on, and tells the leader while
@@ -31,10 +37,10 @@
 	mu       sync.Mutex
 	origins  release.Origins
 	history  release.History
-	services map[string]bool     // to whether they have several releases
-	pending  []wire.StreamOrigin // not reported yet
-	resend   bool                // everything is due: several releases have begun to serve, or another leader leads
-	mark     uint64              // term of the leader that was told
+	services map[string]bool  // to whether they have several releases
+	pending  []release.Origin // not reported yet
+	resend   bool             // everything is due: several releases have begun to serve, or another leader leads
+	mark     uint64           // term of the leader that was told
 }
 
 func newStreams(g *Gateway) *streams {
@@ -92,7 +98,7 @@
 	defer s.mu.Unlock()
 	s.origins.Began(now, key, name)
 	if s.services[service] {
-		s.pending = append(s.pending, wire.StreamOrigin{Stream: key, Release: name})
+		s.pending = append(s.pending, release.Origin{Stream: key, Release: name})
 		s.signalReport()
 	}
 }
@@ -147,7 +153,7 @@
 	if p.Served != nil && (s.resend || s.mark != term) {
 		p.Began = nil
 		s.origins.All(func(id release.StreamID, n release.Name) {
-			p.Began = append(p.Began, wire.StreamOrigin{Stream: id, Release: n})
+			p.Began = append(p.Began, release.Origin{Stream: id, Release: n})
 		})
 	}
 	s.pending, s.resend, s.mark = nil, false, term
@@ -196,8 +202,10 @@
 		names, follows := x.g.streams.served(now, x.service)
 		served = names
 		switch {
-		case err == nil && r.Known && named:
+		case r.Known && named && err == nil:
 			name, found, source = r.Release, true, "leader"
+		case r.Known && named:
+			name, found, source = r.Release, true, "log"
 		case err == nil:
 			name, found = release.Only(served, r.Served)
 			source = "only release"
@@ -227,7 +235,18 @@
 
 func shorten(id string) string { return id[:min(len(id), maxLoggedID)] }
 
+// findStream asks the leader which release began a stream. If none answers, it returns an error, and
+// what the log of another control host names.
 func (g *Gateway) findStream(ctx context.Context, key release.StreamID, service string) (wire.StreamResult, error) {
+	p := wire.StreamParams{Host: g.cfg.Host, Find: &key, Service: service}
+	r, err := g.askLeader(ctx, p)
+	if err != nil && !r.Known {
+		r = g.sync.findNoted(ctx, p)
+	}
+	return r, err
+}
+
+func (g *Gateway) askLeader(ctx context.Context, p wire.StreamParams) (wire.StreamResult, error) {
 	var r wire.StreamResult
 	conn := g.sync.leader()
 	if conn == nil {
@@ -235,13 +254,41 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	err := conn.Call(ctx, wire.MethodStreams, wire.StreamParams{Host: g.cfg.Host, Find: &key, Service: service}, &r)
+	err := conn.Call(ctx, wire.MethodStreams, p, &r)
 	if err == nil && !r.Leading {
 		err = errNoLeader
 	}
 	return r, err
 }
 
+// findNoted asks control hosts in random order what their logs name, until one knows the stream.
+func (s *syncer) findNoted(ctx context.Context, p wire.StreamParams) wire.StreamResult {
+	s.mu.Lock()
+	addrs := s.candidates()
+	s.mu.Unlock()
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	for _, addr := range addrs[:min(len(addrs), maxNotedAsked)] {
+		if r, err := s.askNoted(ctx, addr, p); err == nil && r.Known {
+			return r
+		}
+	}
+	return wire.StreamResult{}
+}
+
+func (s *syncer) askNoted(ctx context.Context, addr string, p wire.StreamParams) (wire.StreamResult, error) {
+	var r wire.StreamResult
+	ctx, cancel := context.WithTimeout(ctx, notedTimeout)
+	defer cancel()
+	conn, err := rpc.Dial(ctx, addr, s.g.cfg.Security, &s.g.metrics.rpc, rejectCall)
+	if err != nil {
+		return r, err
+	}
+	defer conn.Close()
+	return r, conn.Call(ctx, wire.MethodStreams, p, &r)
+}
+
 // bindRelease binds the rest of a resumable stream to the release that sent its first event.
 func (x *exchange) bindRelease() {
 	if x.bound || !x.route.Resumable || x.answering == nil {
--- a/internal/core/release/release_test.go
+++ b/internal/core/release/release_test.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -103,3 +104,31 @@
 	}
 	is.True(len(o.newer)+len(o.older) <= 2*maxOrigins)
 }
+
+func TestOriginsAreTheSameAfterEncoding(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1e6, 0).UTC()
+	var a Origins
+	for n := range 200 {
+		os := []Origin{{streamID(2 * n), "v1"}, {streamID(2*n + 1), ""}, {streamID(n), "v9"}}
+		a.Record(now.Add(time.Duration(n)*StreamLife/100), NoteOf(os))
+	}
+	raw, err := json.Marshal(a.Image())
+	is.NoErr(err)
+	var image OriginsImage
+	is.NoErr(json.Unmarshal(raw, &image))
+	b := image.Origins()
+	at := now.Add(2*StreamLife - 1)
+	for _, o := range []*Origins{&a, &b} {
+		o.Record(at, NoteOf([]Origin{{streamID(1000), "v2"}}))
+		n, found := o.Lookup(streamID(399))
+		is.True(found && n == "") // the first word stands
+		n, found = o.Lookup(streamID(1000))
+		is.True(found && n == "v2")
+	}
+	is.Equal(a.Image(), b.Image())
+	b.Rotate(at.Add(StreamLife))
+	b.Rotate(at.Add(2 * StreamLife))
+	_, found := b.Lookup(streamID(1000))
+	is.True(!found)
+}
--- a/internal/core/release/schedules_test.go
+++ b/internal/core/release/schedules_test.go
@@ -41,6 +41,7 @@
 	next    int
 	leader  *leaderProcess // nil while there is none
 	logged  releaseNote
+	noted   Origins // in the log
 	entries []*entryProcess
 	begun   []begunStream
 	unrest  time.Time // until then leaders are lost often
@@ -60,6 +61,7 @@
 	settled    Served       // as noted in the log
 	note       *releaseNote // not acknowledged yet
 	published  bool
+	unnoted    []Origin
 }
 
 type entryProcess struct {
@@ -128,7 +130,7 @@
 }
 
 func (w *releaseWorld) elect() {
-	w.leader = &leaderProcess{settlement: NewSettlement(w.now, SettleTime(worldLag), w.logged.served, w.logged.settled), settled: w.logged.settled}
+	w.leader = &leaderProcess{origins: w.noted.From(w.now), settlement: NewSettlement(w.now, SettleTime(worldLag), w.logged.served, w.logged.settled), settled: w.logged.settled}
 	w.leader.history.Heard(w.now, "s", w.logged.served["s"]...)
 }
 
@@ -154,6 +156,10 @@
 	if l.note != nil && w.chance(0.4) {
 		w.logged, l.settled, l.note = *l.note, l.note.settled, nil
 	}
+	if w.chance(0.4) {
+		w.noted.Record(w.now, NoteOf(l.unnoted))
+		l.unnoted = nil
+	}
 	l.published = l.published || !l.asOf.IsZero() && l.note == nil
 }
 
@@ -162,6 +168,9 @@
 	if w.leader != nil && w.leader.note != nil && w.chance(0.5) {
 		w.logged = *w.leader.note
 	}
+	if w.leader != nil && w.chance(0.5) {
+		w.noted.Record(w.now, NoteOf(w.leader.unnoted))
+	}
 	w.leader = nil
 }
 
@@ -203,7 +212,11 @@
 func (w *releaseWorld) tell(e *entryProcess) {
 	if ns := e.history.Names("s"); len(ns) > 1 {
 		w.leader.history.Heard(w.now, "s", ns...)
-		e.origins.All(func(id StreamID, n Name) { w.leader.origins.Began(w.now, id, n) })
+		e.origins.All(func(id StreamID, n Name) {
+			if w.leader.origins.Began(w.now, id, n) {
+				w.leader.unnoted = append(w.leader.unnoted, Origin{id, n})
+			}
+		})
 	}
 }
 
@@ -283,10 +296,15 @@
 		if n, found = w.leader.origins.Find(w.now, s.id); !found {
 			n, found = Only(e.history.Names("s"), w.leader.history.Names("s"))
 		}
-	case e.history.Follows(w.now):
-		n, found = Only(e.history.Names("s"))
-		found = found && e.settled.Has("s", n)
-		w.inferred++
+	default:
+		if w.chance(0.5) { // another control host answers, and its log does not lag
+			n, found = w.noted.Lookup(s.id)
+		}
+		if !found && e.history.Follows(w.now) {
+			n, found = Only(e.history.Names("s"))
+			found = found && e.settled.Has("s", n)
+			w.inferred++
+		}
 	}
 	switch {
 	case !found:
--- a/internal/core/state/apply.go
+++ b/internal/core/state/apply.go
@@ -20,6 +20,7 @@
 		s.now = c.Time
 	}
 	s.changes = nil
+	s.streams.Rotate(s.now)
 	res := s.dispatch(c)
 	res.Index = index
 	return res, s.changes
@@ -67,6 +68,9 @@
 		return Result{Code: OK}
 	case c.Poison != nil:
 		return s.applyPoison(c.By, *c.Poison)
+	case c.Streams != nil:
+		s.streams.Record(s.now, c.Streams)
+		return Result{Code: OK}
 	}
 	return Result{Code: Invalid, Message: "the command is empty"}
 }
--- a/internal/core/state/clone_test.go
+++ b/internal/core/state/clone_test.go
@@ -34,6 +34,7 @@
 		apply(Command{Poison: &poison.Change{Ends: []poison.End{{Request: request, Incarnation: fmt.Sprint("e", n)}}}})
 		apply(Command{Deploy: &Deploy{Version: uint64(n + 1), Text: fmt.Sprint("text ", n)}})
 		apply(Command{Releases: &release.Served{"s": {release.Name(fmt.Sprint("v", n))}}})
+		apply(Command{Streams: release.NoteOf([]release.Origin{{Stream: poison.Key("k").Fingerprint([]byte{byte(n)}), Release: "v1"}})})
 	}
 	change(0)
 	clone := s.Clone()
--- a/internal/core/state/command.go
+++ b/internal/core/state/command.go
@@ -30,6 +30,7 @@
 	Releases *release.Served  `json:"releases,omitempty"`
 	Settled  *release.Served  `json:"settled,omitempty"` // with Releases; nil from a leader that lets streams begin at all of them
 	Poison   *poison.Change   `json:"poison,omitempty"`
+	Streams  release.Note     `json:"streams,omitempty"`
 }
 
 // Submit creates a record or revises one.
--- a/internal/core/state/deployment.go
+++ b/internal/core/state/deployment.go
@@ -56,6 +56,12 @@
 // begin, as the leader noted them. The caller must not modify them.
 func (s *State) Releases() (served, settled release.Served) { return s.releases, s.settled }
 
+// FindStream returns the release that began a stream, if the log names it.
+func (s *State) FindStream(id release.StreamID) (release.Name, bool) { return s.streams.Lookup(id) }
+
+// Streams returns a copy of what the log says of begun streams.
+func (s *State) Streams() release.Origins { return s.streams.Clone() }
+
 // Holder returns the newest record of the host that holds the engines.
 func (s *State) Holder() holder.Record { return s.holder }
 
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -43,6 +43,7 @@
 	holder   holder.Record
 	releases release.Served
 	settled  release.Served
+	streams  release.Origins // of streams of services with several releases
 	poison   poison.Registry
 	suspects *poison.Book // requests under which endpoints ended, as reported by entries
 
@@ -163,6 +164,7 @@
 	c.audit = slices.Clip(s.audit)
 	c.history = s.history.Clone()
 	c.suspects = s.suspects.Clone()
+	c.streams = s.streams.Clone()
 	c.changes = nil
 	// Sums and indexes change in place and are not encoded.
 	c.used, c.byTarget, c.byPlacement, c.byHost, c.requirements, c.expiry, c.open = nil, nil, nil, nil, nil, nil, nil
@@ -188,12 +190,13 @@
 	Settled   *release.Served         `json:"settled,omitempty"` // nil if all are
 	Poison    poison.Registry         `json:"poison,omitzero"`
 	Suspects  []poison.Case           `json:"suspects,omitempty"`
+	Streams   release.OriginsImage    `json:"streams,omitzero"`
 }
 
 // Encode returns the state as JSON for Decode.
 func (s *State) Encode() ([]byte, error) {
 	im := image{Index: s.index, Config: s.config, Now: s.now, Records: s.Records(), Results: s.results,
-		Endpoints: s.Endpoints(), Replicas: s.Replicas(), Audit: s.audit, History: s.history, Holder: s.holder, Releases: s.releases, Settled: &s.settled, Poison: s.poison, Suspects: s.suspects.Cases()}
+		Endpoints: s.Endpoints(), Replicas: s.Replicas(), Audit: s.audit, History: s.history, Holder: s.holder, Releases: s.releases, Settled: &s.settled, Poison: s.poison, Suspects: s.suspects.Cases(), Streams: s.streams.Image()}
 	if s.deployed.Version != 0 {
 		im.Deployed = &s.deployed
 	}
@@ -219,6 +222,7 @@
 	if im.Settled != nil {
 		s.settled = *im.Settled
 	}
+	s.streams = im.Streams.Origins()
 	for _, c := range im.Suspects {
 		s.suspects.Put(c)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -324,23 +324,17 @@
 	Granted bool `json:"granted"` // the request may run now
 }
 
-// StreamOrigin says which release sent the first event of a stream.
-type StreamOrigin struct {
-	Stream  release.StreamID `json:"stream"`
-	Release release.Name     `json:"release"`
-}
-
 // StreamParams reports which releases began streams of an entry, and which have served the services
 // that have several; Find asks for one stream of Service.
 type StreamParams struct {
 	Host    ident.HostID              `json:"host"`
-	Began   []StreamOrigin            `json:"began,omitempty"`
+	Began   []release.Origin          `json:"began,omitempty"`
 	Served  map[string][]release.Name `json:"served,omitempty"` // by service
 	Find    *release.StreamID         `json:"find,omitempty"`
 	Service string                    `json:"service,omitempty"`
 }
 
-// StreamResult answers StreamParams.
+// StreamResult answers StreamParams. A host that does not lead tells only what the log names.
 type StreamResult struct {
 	Leading bool           `json:"leading"`
 	Known   bool           `json:"known"`             // Release began the stream
