gateway, controller: without a leader other control hosts know where streams began

Cause: entries reported origins to a leader alone, and kept them while there was none.

Change: without a leader an entry tells four other control hosts of each stream, chosen by rendezvous hashing over at most 16; they remember it in memory, and the one that leads next notes it in the log. A take-up that neither the leader nor an inference answers asks the four. While there is a leader and one release serves, no message more is sent. What a host was told or has read in the log is true whoever asks, so a wrong choice of hosts only costs a refusal.

--- a/internal/app/controller/streams.go
+++ b/internal/app/controller/streams.go
@@ -27,6 +27,7 @@
 	mu         sync.Mutex
 	leading    bool
 	origins    release.Origins
+	told       release.Origins // by entries that reached no leader; also while this host does not lead
 	history    release.History
 	settlement *release.Settlement
 	logged     loggedReleases // newest in the log, as far as this leader knows
@@ -47,6 +48,7 @@
 	defer s.mu.Unlock()
 	s.leading, s.origins, s.history, s.logged, s.committing = true, noted.From(now), release.History{}, loggedReleases{served: served, settled: settled}, false
 	s.unnoted, s.noting = nil, false
+	s.told.All(func(id release.StreamID, n release.Name) { s.began(now, release.Origin{Stream: id, Release: n}) })
 	s.settlement = release.NewSettlement(now, s.wait, served, settled)
 	for service, names := range served {
 		s.history.Heard(now, service, names...)
@@ -194,12 +196,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.leading {
-		return wire.StreamResult{}
+		return s.remember(now, p)
 	}
 	for _, b := range p.Began {
-		if s.origins.Began(now, b.Stream, b.Release) {
-			s.unnoted = append(s.unnoted, b)
-		}
+		s.began(now, b)
 	}
 	for service, names := range p.Served {
 		s.history.Heard(now, service, names...)
@@ -212,6 +212,25 @@
 	return r
 }
 
+// began records the origin of a stream, and that the log is to name it. The caller holds mu.
+func (s *streamOrigins) began(now time.Time, o release.Origin) {
+	if s.origins.Began(now, o.Stream, o.Release) {
+		s.unnoted = append(s.unnoted, o)
+	}
+}
+
+// remember applies a report, and answers a question, while this host does not lead. The caller holds mu.
+func (s *streamOrigins) remember(now time.Time, p wire.StreamParams) wire.StreamResult {
+	for _, b := range p.Began {
+		s.told.Began(now, b.Stream, b.Release)
+	}
+	var r wire.StreamResult
+	if p.Find != nil {
+		r.Release, r.Known = s.told.Find(now, *p.Find)
+	}
+	return r
+}
+
 // findStream applies an entry's report and answers its question. That a stream is not known is said only
 // while a quorum confirms that this host leads: a later leader may know releases that it does not.
 func (c *Controller) findStream(ctx context.Context, p wire.StreamParams) (wire.StreamResult, error) {
--- a/internal/app/controller/streams_test.go
+++ b/internal/app/controller/streams_test.go
@@ -87,8 +87,12 @@
 	eventually(t, "the log names it", func() bool { _, noted := lead.FindStream(id); return noted })
 	lead.set(func() { lead.lead.Leading = false })
 	eventually(t, "a host that does not lead tells it", func() bool { r := ask(); return !r.Leading && r.Known && r.Release == "v2" })
+	told := poison.Key("k").Fingerprint([]byte("told"))
+	_, err = c.findStream(t.Context(), wire.StreamParams{Host: "e", Began: []release.Origin{{Stream: told, Release: "v1"}}})
+	is.NoErr(err)
 	lead.set(func() { lead.lead.Leading, lead.lead.Term = true, 4 })
 	eventually(t, "the next leader tells it", func() bool { r := ask(); return r.Leading && r.Known && r.Release == "v2" })
+	eventually(t, "the log names what this host was told meanwhile", func() bool { n, noted := lead.FindStream(told); return noted && n == "v1" })
 }
 
 // Guards against streams that the log does not name as a commit has failed.
--- a/internal/app/gateway/streams.go
+++ b/internal/app/gateway/streams.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/release"
@@ -22,10 +20,6 @@
 	releaseRefresh = time.Second
 	// findTimeout bounds the question to the leader which release began a stream.
 	findTimeout = 300 * time.Millisecond
-	// notedTimeout bounds the same question to another control host: one that is gone answers nothing.
-	notedTimeout = 100 * time.Millisecond
-	// maxNotedAsked is how many of these are asked.
-	maxNotedAsked = 4
 )
 
 // streams knows which releases began the streams that this entry passed on, and tells the leader while
@@ -33,6 +27,7 @@
 type streams struct {
 	g      *Gateway
 	signal chan struct{} // signalled when there is something to report
+	others *otherHosts
 
 	mu       sync.Mutex
 	origins  release.Origins
@@ -44,7 +39,7 @@
 }
 
 func newStreams(g *Gateway) *streams {
-	return &streams{g: g, signal: make(chan struct{}, 1), services: map[string]bool{}}
+	return &streams{g: g, signal: make(chan struct{}, 1), others: newOtherHosts(g), services: map[string]bool{}}
 }
 
 // listed records the releases of the endpoints that are known from lists. asOf is an instant before the
@@ -120,12 +115,15 @@
 	}
 }
 
-// report reports to the leader what it may not know.
+// report reports to the leader what it may not know. Without a leader, other control hosts are told of
+// new streams, and the next leader of all.
 func (s *streams) report() {
 	conn := s.g.sync.leader()
 	if conn == nil {
+		s.others.tell(s.takePending())
 		return
 	}
+	s.others.closeAll()
 	p := s.due(s.g.dir.leaderTerm())
 	if len(p.Began) == 0 && len(p.Served) == 0 {
 		return
@@ -137,6 +135,17 @@
 	}
 }
 
+// takePending returns the streams that were not reported yet.
+func (s *streams) takePending() []release.Origin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.pending
+	if len(out) > 0 {
+		s.pending, s.resend = nil, true
+	}
+	return out
+}
+
 // due returns what is to be reported to the leader of a term.
 func (s *streams) due(term uint64) wire.StreamParams {
 	s.mu.Lock()
@@ -196,16 +205,15 @@
 	name, found := x.g.streams.find(time.Now(), key)
 	source, served := "entry", []release.Name(nil)
 	if !found || !named {
-		r, err := x.g.findStream(ctx, key, x.service)
+		p := wire.StreamParams{Host: x.g.cfg.Host, Find: &key, Service: x.service}
+		r, err := x.g.askLeader(ctx, p)
 		// Read after the question: what was listed meanwhile counts.
 		now := time.Now()
 		names, follows := x.g.streams.served(now, x.service)
 		served = names
 		switch {
-		case r.Known && named && err == nil:
-			name, found, source = r.Release, true, "leader"
 		case r.Known && named:
-			name, found, source = r.Release, true, "log"
+			name, found, source = r.Release, true, "leader"
 		case err == nil:
 			name, found = release.Only(served, r.Served)
 			source = "only release"
@@ -216,6 +224,11 @@
 		default:
 			found = false
 		}
+		if !found && named {
+			if r = x.g.streams.others.find(ctx, p); r.Known {
+				name, found, source = r.Release, true, "control host"
+			}
+		}
 	}
 	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("resumes", shorten(x.info.Resumes)).Bool("found", found).Str("release", string(name)).Str("source", source).Int("releases", len(served)).Msg("stream_taken_up")
 	x.g.metrics.countTakenUp(found)
@@ -235,17 +248,7 @@
 
 func shorten(id string) string { return id[:min(len(id), maxLoggedID)] }
 
-// findStream asks the leader which release began a stream. If none answers, it returns an error, and
-// what the log of another control host names.
-func (g *Gateway) findStream(ctx context.Context, key release.StreamID, service string) (wire.StreamResult, error) {
-	p := wire.StreamParams{Host: g.cfg.Host, Find: &key, Service: service}
-	r, err := g.askLeader(ctx, p)
-	if err != nil && !r.Known {
-		r = g.sync.findNoted(ctx, p)
-	}
-	return r, err
-}
-
+// askLeader asks the leader which release began a stream.
 func (g *Gateway) askLeader(ctx context.Context, p wire.StreamParams) (wire.StreamResult, error) {
 	var r wire.StreamResult
 	conn := g.sync.leader()
@@ -261,34 +264,6 @@
 	return r, err
 }
 
-// findNoted asks control hosts in random order what their logs name, until one knows the stream.
-func (s *syncer) findNoted(ctx context.Context, p wire.StreamParams) wire.StreamResult {
-	s.mu.Lock()
-	addrs := s.candidates()
-	s.mu.Unlock()
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	for _, addr := range addrs[:min(len(addrs), maxNotedAsked)] {
-		if r, err := s.askNoted(ctx, addr, p); err == nil && r.Known {
-			return r
-		}
-	}
-	return wire.StreamResult{}
-}
-
-func (s *syncer) askNoted(ctx context.Context, addr string, p wire.StreamParams) (wire.StreamResult, error) {
-	var r wire.StreamResult
-	ctx, cancel := context.WithTimeout(ctx, notedTimeout)
-	defer cancel()
-	conn, err := rpc.Dial(ctx, addr, s.g.cfg.Security, &s.g.metrics.rpc, rejectCall)
-	if err != nil {
-		return r, err
-	}
-	defer conn.Close()
-	return r, conn.Call(ctx, wire.MethodStreams, p, &r)
-}
-
 // bindRelease binds the rest of a resumable stream to the release that sent its first event.
 func (x *exchange) bindRelease() {
 	if x.bound || !x.route.Resumable || x.answering == nil {
