gateway: an old list brings back neither what leaves nor an earlier start

What callers see: nothing runs wrongly, but a request may be sent once more to an endpoint that is known to have left, and be refused there.

An earlier start that is listed or published again is passed over, one that leaves still leaves. Endpoints that do not tell their start are treated as before.

--- a/internal/app/gateway/directory.go
+++ b/internal/app/gateway/directory.go
@@ -38,6 +38,7 @@
 	rev              uint64
 	asOf             time.Time                    // the platform's list is not older than this
 	shownAsOf        time.Time                    // every list read at this instant or before is merged; zero if not known
+	starts           map[string]latestStart       // by the platform's names for endpoints
 	settled          map[serviceRelease]time.Time // releases at which streams may begin, by the leader's word, to when they were last known
 	byID             map[fleet.EndpointID]*endpoint
 	modelIdle        chan struct{}                                                 // signalled when the last request here for a model with one holder has ended
@@ -60,7 +61,7 @@
 
 func newDirectory(zone ident.Zone, log zerolog.Logger) *directory {
 	return &directory{zone: zone, log: log, limits: allowance.NewPermitClient(rand.Uint64(), rand.Float64),
-		notices: notice.NewBook(rand.Float64), waiters: map[*allowance.Waiter]waitingFor{}, unreadableLogged: map[unreadableLog]bool{}, noticed: make(chan struct{}, 1), unreadable: map[fleet.EndpointID]string{}, byID: map[fleet.EndpointID]*endpoint{}, settled: map[serviceRelease]time.Time{}, etas: map[string]time.Time{}, modelIdle: make(chan struct{}, 1), paces: newPaces(), changed: make(chan struct{})}
+		notices: notice.NewBook(rand.Float64), waiters: map[*allowance.Waiter]waitingFor{}, unreadableLogged: map[unreadableLog]bool{}, noticed: make(chan struct{}, 1), unreadable: map[fleet.EndpointID]string{}, byID: map[fleet.EndpointID]*endpoint{}, settled: map[serviceRelease]time.Time{}, starts: map[string]latestStart{}, etas: map[string]time.Time{}, modelIdle: make(chan struct{}, 1), paces: newPaces(), changed: make(chan struct{})}
 }
 
 // wakeLocked makes waiting requests look again. The caller holds mu.
@@ -85,7 +86,9 @@
 	defer d.mu.Unlock()
 	d.term, d.rev = term, rev
 	for _, ep := range changed {
-		d.upsert(ep, true)
+		if !d.isOver(ep) {
+			d.upsert(ep, true)
+		}
 	}
 	for _, id := range removed {
 		if e, known := d.byID[id]; known {
@@ -121,6 +124,7 @@
 func (d *directory) listed() {
 	now := time.Now()
 	d.pruneSettled(now)
+	d.pruneStarts(now)
 	if d.onListed != nil {
 		d.onListed(now, d.shownAsOf, d.byID)
 	}
@@ -141,6 +145,9 @@
 func (d *directory) merge(eps []fleet.Endpoint, models bool) {
 	listed := make(map[fleet.EndpointID]bool, len(eps))
 	for _, ep := range fleet.LatestIncarnations(eps, d.incarnations()) {
+		if d.isOver(ep) {
+			continue
+		}
 		listed[ep.ID] = true
 		d.upsert(ep, models)
 	}
@@ -167,6 +174,10 @@
 // platform's list alone provides: the list lags behind the leader's knowledge of models.
 func (d *directory) upsert(ep fleet.Endpoint, models bool) {
 	e, known := d.byID[ep.ID]
+	d.noteStart(ep, ep.Leaving)
+	if l := d.starts[ep.Name()]; l.startedAt == ep.StartedAt {
+		ep.Leaving = ep.Leaving || l.leaving
+	}
 	if !known {
 		d.logEvent(ep, "endpoint_up")
 		d.setSettled(&ep, models)
@@ -197,6 +208,7 @@
 // remove marks an endpoint as removed, and deletes it as soon as no request runs there.
 func (d *directory) remove(e *endpoint) {
 	if !e.removed {
+		d.noteStart(e.Endpoint, d.saysItLeaves(e))
 		d.logEvent(e.Endpoint, "endpoint_gone")
 		if d.onRemoved != nil {
 			d.onRemoved(e.ID, d.leaves(e))
@@ -335,7 +347,13 @@
 // leaves reports whether an endpoint leaves, by the list or by its own word, which no list
 // lifts. The caller holds mu.
 func (d *directory) leaves(e *endpoint) bool {
-	return e.Leaving || e.removed || e.misdirected || d.notices.Leaves(string(e.ID))
+	return d.saysItLeaves(e) || e.removed || e.misdirected
+}
+
+// saysItLeaves reports whether the list or an answer of an endpoint has said that it leaves. The caller
+// holds mu.
+func (d *directory) saysItLeaves(e *endpoint) bool {
+	return e.Leaving || d.notices.Leaves(string(e.ID))
 }
 
 // release ends a request at an endpoint and records its outcome.
