gateway: take-ups by source in the metric; questions to other control hosts are bounded

The metric of taken-up streams names who knew the release, or was asked last. A question to other control hosts has connections of its own: one that a report had opened could be closed under it. At most 32 streams are asked about at a time, so that callers with ids of nobody cannot have an entry dial without end.

--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -198,9 +198,10 @@
 	m.set.GetOrCreateCounter(`cassiapass_gateway_unframed_answers_total{verdict="` + v.String() + `"}`).Inc()
 }
 
-// countTakenUp counts a request that takes up a stream, by whether it is known which release began it.
-func (m *metrics) countTakenUp(found bool) {
-	m.set.GetOrCreateCounter(`cassiapass_gateway_streams_taken_up_total{release_known="` + strconv.FormatBool(found) + `"}`).Inc()
+// countTakenUp counts a request that takes up a stream, by whether it is known which release began it
+// and who knew, or was asked last.
+func (m *metrics) countTakenUp(found bool, source originSource) {
+	m.set.GetOrCreateCounter(`cassiapass_gateway_streams_taken_up_total{release_known="` + strconv.FormatBool(found) + `",source="` + string(source) + `"}`).Inc()
 }
 
 // countTrial counts a request that asked for a trial of its suspect parts.
--- a/internal/app/gateway/otherhosts.go
+++ b/internal/app/gateway/otherhosts.go
@@ -22,18 +22,21 @@
 	maxOtherHosts = 16
 	// otherHostTimeout bounds a call: a host that is gone answers nothing.
 	otherHostTimeout = 100 * time.Millisecond
+	// maxQuestions bounds the streams that are asked about at a time.
+	maxQuestions = 32
 )
 
 // otherHosts are control hosts that remember begun streams in place of a leader, in memory. Each stream
 // has hosts of its own, chosen by rendezvous hashing, so that entries find them without an agreement.
 type otherHosts struct {
-	g     *Gateway
-	mu    sync.Mutex
-	conns map[string]*rpc.Conn // by address
+	g         *Gateway
+	questions chan struct{} // holds one element for each stream that is being asked about
+	mu        sync.Mutex
+	conns     map[string]*rpc.Conn // by address
 }
 
 func newOtherHosts(g *Gateway) *otherHosts {
-	return &otherHosts{g: g, conns: map[string]*rpc.Conn{}}
+	return &otherHosts{g: g, questions: make(chan struct{}, maxQuestions), conns: map[string]*rpc.Conn{}}
 }
 
 // highest returns the addresses with the highest hashes together with a key.
@@ -77,19 +80,18 @@
 // find asks the hosts of a stream which release began it. What one of them knows is true, whether it
 // was told or has read it in the log.
 func (o *otherHosts) find(ctx context.Context, p wire.StreamParams) wire.StreamResult {
+	select {
+	case o.questions <- struct{}{}:
+		defer func() { <-o.questions }()
+	default:
+		return wire.StreamResult{}
+	}
 	ctx, cancel := context.WithTimeout(ctx, otherHostTimeout)
 	defer cancel()
 	addrs := o.of(*p.Find)
 	answers := make(chan wire.StreamResult, len(addrs))
 	for _, addr := range addrs {
-		go func() {
-			var r wire.StreamResult
-			conn, err := o.connect(ctx, addr)
-			if err == nil && conn.Call(ctx, wire.MethodStreams, p, &r) != nil {
-				o.drop(addr, conn)
-			}
-			answers <- r
-		}()
+		go func() { answers <- o.ask(ctx, addr, p) }()
 	}
 	for range addrs {
 		if r := <-answers; r.Known {
@@ -99,6 +101,19 @@
 	return wire.StreamResult{}
 }
 
+// ask asks one host, on a connection of its own: such questions are rare.
+func (o *otherHosts) ask(ctx context.Context, addr string, p wire.StreamParams) (r wire.StreamResult) {
+	conn, err := rpc.Dial(ctx, addr, o.g.cfg.Security, &o.g.metrics.rpc, rejectCall)
+	if err != nil {
+		return wire.StreamResult{}
+	}
+	defer conn.Close()
+	if err := conn.Call(ctx, wire.MethodStreams, p, &r); err != nil {
+		return wire.StreamResult{}
+	}
+	return r
+}
+
 // connect returns a connection to a host, the one of before if it is still open.
 func (o *otherHosts) connect(ctx context.Context, addr string) (*rpc.Conn, error) {
 	o.mu.Lock()
--- a/internal/app/gateway/streams.go
+++ b/internal/app/gateway/streams.go
@@ -184,6 +184,17 @@
 	return s.history.Names(service), s.history.Follows(now)
 }
 
+// originSource is who knew which release began a stream.
+type originSource string
+
+const (
+	byEntry             originSource = "entry"
+	byLeader            originSource = "leader"
+	byOnlyRelease       originSource = "only release"
+	byOnlyReleaseListed originSource = "only release, no leader"
+	byControlHost       originSource = "control host"
+)
+
 // takesUp reports whether the request goes on with a stream that an earlier one began.
 func (x *exchange) takesUp() bool {
 	return x.route.Repeat == deploy.Stream && x.route.Resumable && (x.info.LastEvent != "" || x.info.Resumes != "")
@@ -203,7 +214,7 @@
 func (x *exchange) findRelease(ctx context.Context) bool {
 	key, named := x.g.suspects.fingerprint([]byte("stream"), []byte(x.info.Resumes))
 	name, found := x.g.streams.find(time.Now(), key)
-	source, served := "entry", []release.Name(nil)
+	source, served := byEntry, []release.Name(nil)
 	if !found || !named {
 		p := wire.StreamParams{Host: x.g.cfg.Host, Find: &key, Service: x.service}
 		r, err := x.g.askLeader(ctx, p)
@@ -213,25 +224,24 @@
 		served = names
 		switch {
 		case r.Known && named:
-			name, found, source = r.Release, true, "leader"
+			name, found, source = r.Release, true, byLeader
 		case err == nil:
 			name, found = release.Only(served, r.Served)
-			source = "only release"
+			source = byOnlyRelease
 		case follows:
 			name, found = release.Only(served)
 			found = found && x.g.dir.isSettled(x.service, name)
-			source = "only release, no leader"
+			source = byOnlyReleaseListed
 		default:
 			found = false
 		}
 		if !found && named {
-			if r = x.g.streams.others.find(ctx, p); r.Known {
-				name, found, source = r.Release, true, "control host"
-			}
+			r, source = x.g.streams.others.find(ctx, p), byControlHost
+			name, found = r.Release, r.Known
 		}
 	}
-	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("resumes", shorten(x.info.Resumes)).Bool("found", found).Str("release", string(name)).Str("source", source).Int("releases", len(served)).Msg("stream_taken_up")
-	x.g.metrics.countTakenUp(found)
+	x.g.cfg.Log.Info().Str("request", x.info.ID).Str("resumes", shorten(x.info.Resumes)).Bool("found", found).Str("release", string(name)).Str("source", string(source)).Int("releases", len(served)).Msg("stream_taken_up")
+	x.g.metrics.countTakenUp(found, source)
 	if !found {
 		x.reason = reasonReleaseUnknown
 		return false
