release: an only release is not inferred for routes of more than 25 s

What callers see on such a route: a stream that is taken up more than 30 s after it began, when its release has been gone for 30 s, goes on at another one.

Cause: releases are remembered for 30 s after they served, and a caller's tries may last for the route's time limit.

The schedules already play tries up to that bound. The package's comment names which facts bind a stream and why each survives.

--- a/internal/app/gateway/release_test.go
+++ b/internal/app/gateway/release_test.go
@@ -192,3 +192,29 @@
 	g.dir.replace(1, 1, eps)
 	is.Equal(dial(t, g).ask("POST", "/resume/", "r2", "x").body, releaseEvents(1, 4, "v2"))
 }
+
+// Guards against streams of two releases in one: a caller comes back after the release that began its
+// stream has been forgotten.
+func TestOnlyReleaseIsNotInferredForLongRoutes(t *testing.T) {
+	for _, c := range []struct {
+		limit  time.Duration
+		status int
+	}{{release.MaxTries, http.StatusOK}, {release.MaxTries + time.Millisecond, http.StatusServiceUnavailable}} {
+		is := is.New(t)
+		a := releaseEndpoint(t, "v1", false)
+		g := startReleases(t, []string{"v1"}, a)
+		d := testDeployment()
+		for i := range d.Routes {
+			d.Routes[i].Timeout = c.limit
+		}
+		g.table.Store(deploy.NewTable(d))
+		now := time.Now()
+		g.streams.history = release.History{}
+		for at := now.Add(-release.StreamLife); !at.After(now); at = at.Add(release.ListGap) {
+			g.streams.listed(at, at, g.dir.byID)
+		}
+		g.dir.recordShown(time.Now())
+		is.Equal(dial(t, g).ask("POST", "/resume/", "r", "x", "Resumes: never-seen", "Last-Event-Id: 2").status, c.status)
+		is.Equal(len(g.streams.pending), 0) // while one release serves nobody is told
+	}
+}
--- a/internal/app/gateway/streams.go
+++ b/internal/app/gateway/streams.go
@@ -225,6 +225,8 @@
 		switch {
 		case r.Known && named:
 			name, found, source = r.Release, true, byLeader
+		case x.route.Timeout > release.MaxTries:
+			found = false // its callers come back later than releases are remembered
 		case err == nil:
 			name, found = release.Only(served, r.Served)
 			source = byOnlyRelease
--- a/internal/core/release/release.go
+++ b/internal/core/release/release.go
@@ -11,6 +11,12 @@
 // served for as long as a stream can last; else it is refused. A doubt is no guess: two streams that
 // were put together wrongly are worse than all that is refused.
 //
+// An origin is a fact that never changes, so whoever holds it may tell it, however late: the entry, the
+// leader, the replicated log, where the leader notes it (Note), and while no host leads control hosts
+// that entries tell instead. It is lost only if all of these end before the note is synced; the stream is
+// then refused. The state keeps notes for StreamLife by the clocks of the leaders that wrote them; a clock
+// that jumps ahead loses some early.
+//
 // Which releases can have begun streams is known because only a leader lets streams begin at a release
 // (Settlement), after the replicated log names it: a later leader reads it there, also after all
 // processes have ended.
@@ -29,6 +35,10 @@
 // releases are remembered.
 const StreamLife = 30 * time.Second
 
+// MaxTries is the longest time limit of a route for which an only release may be inferred: callers come
+// back within it, and all lists of the time before must still be remembered then.
+const MaxTries = StreamLife - ListGap - 2*time.Second
+
 // StreamID identifies a stream: the keyed hash of the id of the request that brought its first event.
 type StreamID = poison.Fingerprint
 
--- a/internal/core/release/schedules_test.go
+++ b/internal/core/release/schedules_test.go
@@ -24,8 +24,6 @@
 const (
 	worldLag   = 800 * time.Millisecond
 	worldSteps = 600
-	// maxTries is how long a caller comes back after its stream began.
-	maxTries = 25 * time.Second
 )
 
 // releaseWorld is one random schedule of a service: entries that read the list themselves or hear of it
@@ -286,7 +284,7 @@
 		return
 	}
 	s := w.begun[len(w.begun)-1-w.rnd.IntN(min(4, len(w.begun)))]
-	if w.now.Sub(s.at) > maxTries {
+	if w.now.Sub(s.at) > MaxTries {
 		return
 	}
 	n, found := e.origins.Find(w.now, s.id)
