--- a/internal/core/state/command.go
+++ b/internal/core/state/command.go
@@ -11,7 +11,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/release"
 )
 
-// Command is one command of the replicated log. Exactly one of the pointers is set.
+// Command is one command of the replicated log. One of the pointers or Streams is set, and Settled with Releases.
 type Command struct {
 	Time     time.Time        `json:"time"` // clock of the proposing leader; time in the state never decreases
 	By       string           `json:"by"`
--- a/scripts/once.sh
+++ b/scripts/once.sh
@@ -5,7 +5,9 @@
 #
 #   scripts/once.sh [SEEDS [FIRST [FLAG...]]]     default: 25 seeds from one taken from the clock
 #
-# Flags: -once.hosts, -once.rate, -once.length, -once.pauses=false, -once.program PATH (another build)
+# Flags: the shape of the deployment (-once.hosts, .disks, .zones, .engines, .models, .plain), the load
+# (-once.rate, .streams), -once.length, -once.load, -once.series, -once.pauses=false, -once.program PATH
+# (another build)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seeds=${1:-25} first=${2:-$(date +%s)}
