--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -30,8 +30,15 @@
 # They run separately and their results are printed; every other test must pass.
 known=$(grep -oE '^Test[A-Za-z0-9_]+' KNOWN-RED.txt 2>/dev/null | paste -sd '|' || true)
 
+# Tests beside crowds of clients measure the memory of processes. They run one at a time, apart from
+# other load, without the race detector.
+crowds='TestCrowd[A-Za-z0-9_]*'
+
 echo "== test with the race detector"
-go test -race -timeout 20m ${known:+-skip "^($known)\$"} ./...
+go test -race -timeout 20m -skip "^($crowds${known:+|$known})\$" ./...
+
+echo "== crowds of clients, one test at a time"
+go test -count=1 -p 1 -timeout 20m -run "^$crowds\$" ${known:+-skip "^($known)\$"} ./platform ./internal/app/daemon
 
 # Tests that depend on the time that large messages take run here without the race detector,
 # at full size; above, with the detector, they run at a tenth of that size.
