Entry: one bound for what all callers hold, in memory and in connections

What callers saw: an entry beside a crowd of unfinished requests ran out of memory and was killed; beside silent connections it had no descriptor left for anyone.

Cause: every limit was for one request or one connection. What a client may hold was multiplied by the connections that it opened: 4 MB of body, which grew by doubling and stayed as garbage beside its copy; a head of 16 KB, whose parsed fields take ten to twenty times as much; and a descriptor.

core/intake counts the bytes and connections of all callers together: the head as it is parsed, the body as it grows (one of an announced length no longer gets its memory before it arrives), what the kernel may hold while the request is read, and answers of endpoints that are buffered. In a shortage the client is refused that holds most for longest without progress (64 kB a second keep up), not the newest; a quarter of the memory is for small requests; a connection that never asked for anything makes way first. A request that arrived whole may have run and is never chosen. The refusal is 503 with Retry-After, which is true: nothing has run.

Still red: bodies over the limit, answers not read, bytes after a request (the kernel's part), and silent connections to readiness.

The random histories of the ledger check that nothing is counted twice or beyond the limits.

--- /dev/null
+++ b/internal/adapter/clients/clients.go
@@ -0,0 +1,167 @@
+// Package clients shares a process's memory and connections among its clients. It guards an intake.Ledger
+// and tells connections when their clients are to be refused.
+package clients
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"github.com/cassiapass/cassiapass/internal/core/intake"
+)
+
+// Registry holds the clients of a process that share limits.
+type Registry struct {
+	mu     sync.Mutex
+	ledger *intake.Ledger
+
+	refusedBytes, refusedConns, evicted uint64
+}
+
+// Client is one connection of a client. A nil Client has no limits.
+type Client struct {
+	r     *Registry
+	entry intake.Client
+	evict func()
+
+	evicted atomic.Bool // set before evict is called
+}
+
+// New returns a Registry with limits.
+func New(l intake.Limits) *Registry { return &Registry{ledger: intake.NewLedger(l)} }
+
+// Open adds a client. evict is called, at most once, when its connection is to be closed or its request
+// refused; it must not block. Open returns nil if no connection is left.
+func (r *Registry) Open(evict func()) *Client {
+	c := &Client{r: r, evict: evict}
+	c.entry.Owner = c
+	r.mu.Lock()
+	closed, ok := r.ledger.Open(&c.entry, time.Now())
+	if !ok {
+		r.refusedConns++
+	}
+	if closed != nil {
+		r.evicted++
+	}
+	r.mu.Unlock()
+	if closed != nil {
+		closed.Owner.(*Client).refuse()
+	}
+	if !ok {
+		return nil
+	}
+	return c
+}
+
+// refuse tells the connection that its client is to be refused.
+func (c *Client) refuse() {
+	c.evicted.Store(true)
+	c.evict()
+}
+
+// SetState records what the client does from now on. One without a request holds nothing any more. It
+// returns false if the connection was closed for another one.
+func (c *Client) SetState(s intake.State) bool {
+	if c == nil {
+		return true
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	c.r.ledger.SetState(&c.entry, s, time.Now())
+	return c.entry.Open()
+}
+
+// Closed reports whether the connection was closed, by Close or for another one.
+func (c *Client) Closed() bool {
+	if c == nil {
+		return false
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	return !c.entry.Open()
+}
+
+// Reserve counts n more bytes as held for the client; false if it is to be refused instead.
+func (c *Client) Reserve(n int64) bool {
+	if c == nil {
+		return true
+	}
+	c.r.mu.Lock()
+	refused, ok := c.r.ledger.Reserve(&c.entry, n, time.Now())
+	c.r.evicted += uint64(len(refused))
+	if !ok {
+		c.r.refusedBytes++
+	}
+	c.r.mu.Unlock()
+	for _, o := range refused {
+		o.Owner.(*Client).refuse()
+	}
+	return ok
+}
+
+// Begin records that a request begins to arrive and counts n bytes for it; false if it is to be refused.
+func (c *Client) Begin(n int64) bool {
+	c.SetState(intake.Receiving)
+	return c.Reserve(n)
+}
+
+// Arrived records that a request has arrived whole, and counts n bytes as no longer held.
+func (c *Client) Arrived(n int64) {
+	c.SetState(intake.Serving)
+	c.Release(n)
+}
+
+// Release counts n bytes as no longer held.
+func (c *Client) Release(n int64) {
+	if c == nil {
+		return
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	c.r.ledger.Release(&c.entry, n)
+}
+
+// Progress records that n bytes have moved on the connection.
+func (c *Client) Progress(n int) {
+	if c == nil {
+		return
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	c.r.ledger.Progress(&c.entry, n, time.Now())
+}
+
+// Evicted reports whether the client is to be refused.
+func (c *Client) Evicted() bool { return c != nil && c.evicted.Load() }
+
+// Close removes the client.
+func (c *Client) Close() {
+	if c == nil {
+		return
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	c.r.ledger.Close(&c.entry)
+}
+
+// RegisterMetrics adds what the clients hold, their limits and what was refused to a set of metrics.
+// listener tells several registries of a process apart.
+func (r *Registry) RegisterMetrics(s *vm.Set, listener string) {
+	gauge := func(name string, f func() float64) {
+		s.NewGauge(fmt.Sprintf("cassiapass_clients_%s{listener=%q}", name, listener), func() float64 {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return f()
+		})
+	}
+	gauge("held_bytes", func() float64 { b, _ := r.ledger.Used(); return float64(b) })
+	gauge("connections", func() float64 { _, n := r.ledger.Used(); return float64(n) })
+	gauge("max_held_bytes", func() float64 { return float64(r.ledger.Limits().Bytes) })
+	gauge("max_connections", func() float64 { return float64(r.ledger.Limits().Conns) })
+	gauge("refused_for_memory_total", func() float64 { return float64(r.refusedBytes) })
+	gauge("refused_for_connections_total", func() float64 { return float64(r.refusedConns) })
+	gauge("evicted_total", func() float64 { return float64(r.evicted) })
+}
--- a/internal/adapter/http1/http1_test.go
+++ b/internal/adapter/http1/http1_test.go
@@ -20,7 +20,7 @@
 	a, b := net.Pipe()
 	t.Cleanup(func() { _ = a.Close(); _ = b.Close() })
 	go func() { _, _ = a.Write([]byte(raw)) }()
-	return NewConn(b, func() Limits { return testLimits }).ReadRequest()
+	return NewConn(b, func() Limits { return testLimits }, nil).ReadRequest()
 }
 
 func TestWellFormedRequests(t *testing.T) {
@@ -83,7 +83,10 @@
 	f.Add("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
 	f.Fuzz(func(t *testing.T, raw string) {
 		head, _, ok := strings.Cut(raw, "\r\n\r\n")
-		if !ok || checkHead([]byte(head+"\r\n\r\n")) != nil {
+		if !ok {
+			return
+		}
+		if _, err := checkHead([]byte(head + "\r\n\r\n")); err != nil {
 			return
 		}
 		low := strings.ToLower(head)
@@ -250,7 +253,7 @@
 	defer b.Close()
 	head := func(n int) string { return "GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("b", n) + "\r\n\r\n" }
 	go func() { _, _ = a.Write([]byte(head(60<<10) + head(10) + head(70<<10))) }()
-	c := NewConn(b, func() Limits { return limits })
+	c := NewConn(b, func() Limits { return limits }, nil)
 	for _, n := range []int{60 << 10, 10} {
 		r, err := c.ReadRequest()
 		is.NoErr(err)
--- a/internal/adapter/http1/request.go
+++ b/internal/adapter/http1/request.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -34,6 +33,12 @@
 
 func badRequest(reason string) error { return &BadRequest{http.StatusBadRequest, reason} }
 
+var (
+	errBodyTooLarge = &BadRequest{http.StatusRequestEntityTooLarge, "the body is too large"}
+	// errCrowded refuses a request whose client holds much for long while memory runs short.
+	errCrowded = &BadRequest{http.StatusServiceUnavailable, "too much is held for clients"}
+)
+
 // Limits bounds the size of a caller's requests and the time to receive them.
 type Limits struct {
 	HeaderBytes   int
@@ -63,75 +68,71 @@
 	}
 }
 
+// requestFraming tells how a request's body ends, by the fields that decide it.
+type requestFraming struct {
+	hosts, lengths, codings int
+	chunked                 bool
+}
+
 // checkHead refuses heads that two parsers could read differently.
-func checkHead(head []byte) error {
-	lines := strings.Split(strings.TrimSuffix(string(head), "\r\n\r\n"), "\r\n")
-	if strings.Count(lines[0], " ") != 2 {
-		return badRequest("the request line is malformed")
+func checkHead(head []byte) (requestFraming, error) {
+	var f requestFraming
+	line, rest, _ := bytes.Cut(bytes.TrimSuffix(head, crlf), crlf)
+	if bytes.Count(line, []byte{' '}) != 2 || bytes.ContainsAny(line, "\r\n\x00") {
+		return f, badRequest("the request line is malformed")
 	}
-	count := map[string]int{}
-	for i, line := range lines {
-		if strings.ContainsAny(line, "\r\n\x00") {
-			return badRequest("a line of the header ends in another way than CR LF")
+	latest := bytes.HasSuffix(line, []byte("HTTP/1.1"))
+	for len(rest) > 0 {
+		line, rest, _ = bytes.Cut(rest, crlf)
+		if len(line) == 0 {
+			break
 		}
-		if i == 0 {
-			continue
+		if bytes.ContainsAny(line, "\r\n\x00") {
+			return f, badRequest("a line of the header ends in another way than CR LF")
 		}
-		name, value, ok := strings.Cut(line, ":")
-		if !ok || name == "" || strings.ContainsAny(name, " \t") {
-			return badRequest("a field name is malformed")
+		name, value, ok := bytes.Cut(line, []byte{':'})
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+			return f, badRequest("a field name is malformed")
 		}
-		if err := checkField(strings.ToLower(name), strings.Trim(value, " \t"), count); err != nil {
-			return err
+		if err := f.check(name, bytes.Trim(value, " \t")); err != nil {
+			return f, err
 		}
 	}
-	if count["host"] != 1 && strings.HasSuffix(lines[0], "HTTP/1.1") {
-		return badRequest("exactly one Host field is needed")
+	if f.hosts != 1 && latest {
+		return f, badRequest("exactly one Host field is needed")
 	}
-	if count["content-length"] > 0 && count["transfer-encoding"] > 0 {
-		return badRequest("both Content-Length and Transfer-Encoding are given")
+	if f.lengths > 0 && f.codings > 0 {
+		return f, badRequest("both Content-Length and Transfer-Encoding are given")
 	}
-	return nil
+	return f, nil
 }
 
-func checkField(name, value string, count map[string]int) error {
-	count[name]++
-	switch name {
-	case "content-length":
-		if value == "" || strings.Trim(value, "0123456789") != "" {
+var crlf = []byte("\r\n")
+
+func (f *requestFraming) check(name, value []byte) error {
+	count := new(int)
+	switch {
+	case equalFold(name, "content-length"):
+		if len(value) == 0 || len(bytes.Trim(value, "0123456789")) > 0 {
 			return badRequest("Content-Length is not a number")
 		}
-	case "transfer-encoding":
-		if !strings.EqualFold(value, "chunked") {
+		count = &f.lengths
+	case equalFold(name, "transfer-encoding"):
+		if !equalFold(value, "chunked") {
 			return &BadRequest{http.StatusNotImplemented, "only the chunked transfer encoding is known"}
 		}
-	case "host":
-	default:
-		return nil
+		f.chunked = true
+		count = &f.codings
+	case equalFold(name, "host"):
+		count = &f.hosts
 	}
-	if count[name] > 1 {
-		return badRequest("the field " + name + " is repeated")
+	if *count++; *count > 1 {
+		return badRequest("the field " + string(name) + " is repeated")
 	}
 	return nil
 }
 
-// readBody reads the whole body. A body whose announced length exceeds the limit is
-// refused without being read.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > limit {
-		return nil, &BadRequest{http.StatusRequestEntityTooLarge, "the body is too large"}
-	}
-	if r.ContentLength > 0 {
-		b := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, b)
-		return b, err
-	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(b)) > limit {
-		return nil, &BadRequest{http.StatusRequestEntityTooLarge, "the body is too large"}
-	}
-	return b, nil
+// equalFold reports whether b is an ASCII text, whatever the case of its letters.
+func equalFold(b []byte, text string) bool {
+	return len(b) == len(text) && strings.EqualFold(string(b), text)
 }
--- a/internal/adapter/http1/server.go
+++ b/internal/adapter/http1/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -12,11 +14,16 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/cassiapass/cassiapass/internal/adapter/clients"
+	"github.com/cassiapass/cassiapass/internal/adapter/sockets"
+	"github.com/cassiapass/cassiapass/internal/core/intake"
 )
 
 // Conn is one connection from a caller.
 type Conn struct {
 	nc      net.Conn
+	client  *clients.Client // what it holds; nil without limits for all clients
 	br      *bufio.Reader
 	limits  func() Limits
 	watched chan struct{} // closed when the watch has ended; nil if none runs
@@ -30,19 +37,34 @@
 
 const (
 	// readBuffer is the size of the read buffer. It grows for larger heads if the limits allow them.
-	readBuffer = 16<<10 + 512
+	readBuffer = 4 << 10
+	// requestBytes is what a request takes beside its head and its body: stacks, buffers and its state.
+	requestBytes = 16 << 10
 	// bodyTimeout bounds the time to receive a whole request body.
 	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds one write: a caller that stops reading must not hold
 	// an endpoint's slot.
 	writeTimeout = 5 * time.Second
+	// smallWrite is the size of a part of a body up to which it is copied beside its framing.
+	smallWrite = 16 << 10
 )
 
-// NewConn returns a Conn. limits is called for each request.
-func NewConn(nc net.Conn, limits func() Limits) *Conn {
-	return &Conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), limits: limits}
+// NewConn returns a Conn. limits is called for each request. What the connection holds is counted in
+// registry; nil counts nothing. It returns nil if no connection is left: Refuse may tell the caller so.
+func NewConn(nc net.Conn, limits func() Limits, registry *clients.Registry) *Conn {
+	c := &Conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), limits: limits}
+	if registry == nil {
+		return c
+	}
+	if c.client = registry.Open(c.evict); c.client == nil {
+		return nil
+	}
+	return c
 }
 
+// evict ends all reads and writes: the client's connection is to be closed, or its request refused.
+func (c *Conn) evict() { _ = c.nc.SetDeadline(past) }
+
 // Close closes the connection at once. A body that ends with the connection and is still under way
 // is cut by a reset: an orderly end would make it look complete.
 func (c *Conn) Close() {
@@ -50,6 +72,7 @@
 		_ = tc.SetLinger(0)
 	}
 	_ = c.nc.Close()
+	c.client.Close()
 }
 
 // Remote returns the caller's address.
@@ -60,12 +83,28 @@
 
 var past = time.Unix(1, 0)
 
-// Wait blocks until the next request begins to arrive, at most for the idle timeout.
+// setReadDeadline sets the read deadline, unless the client is to be refused.
+func (c *Conn) setReadDeadline(t time.Time) error {
+	err := c.nc.SetReadDeadline(t)
+	if c.client.Evicted() {
+		return c.nc.SetReadDeadline(past)
+	}
+	return err
+}
+
+// Wait blocks until the next request begins to arrive, at most for the idle timeout. The request before
+// it holds nothing any more.
 func (c *Conn) Wait() error {
+	if c.method != "" {
+		c.client.SetState(intake.Idle)
+	}
 	if c.br.Buffered() > 0 {
 		return nil
 	}
-	if err := c.nc.SetReadDeadline(time.Now().Add(c.limits().IdleTimeout)); err != nil {
+	if c.br.Size() > readBuffer {
+		c.br = bufio.NewReaderSize(c.nc, readBuffer)
+	}
+	if err := c.setReadDeadline(time.Now().Add(c.limits().IdleTimeout)); err != nil {
 		return err
 	}
 	_, err := c.br.Peek(1)
@@ -75,22 +114,49 @@
 // ReadRequest reads one complete request. The error is a *BadRequest if it should be
 // reported to the caller.
 func (c *Conn) ReadRequest() (*Request, error) {
+	if !c.client.Begin(requestBytes + sockets.ReceiveBytes) {
+		return nil, errCrowded
+	}
+	r, err := c.readRequest()
+	if err == nil {
+		c.client.Arrived(sockets.ReceiveBytes)
+		return r, nil
+	}
+	if c.client.Evicted() {
+		return nil, errCrowded
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &BadRequest{http.StatusRequestTimeout, "the request did not arrive in time"}
+	}
+	return nil, err
+}
+
+func (c *Conn) readRequest() (*Request, error) {
 	lim := c.limits()
-	if err := c.nc.SetReadDeadline(time.Now().Add(lim.HeaderTimeout)); err != nil {
+	if err := c.setReadDeadline(time.Now().Add(lim.HeaderTimeout)); err != nil {
 		return nil, err
 	}
 	head, err := c.readHead(lim.HeaderBytes)
 	if err != nil {
-		return nil, timedOut(err)
+		return nil, err
 	}
-	if err := checkHead(head); err != nil {
+	if !c.client.Reserve(intake.HeadBytes(len(head), bytes.Count(head, []byte{'\n'}))) {
+		return nil, errCrowded
+	}
+	framing, err := checkHead(head)
+	if err != nil {
 		return nil, err
 	}
+	if framing.chunked { // its trailer is read like a head
+		if err := c.growBuffer(lim.HeaderBytes); err != nil {
+			return nil, err
+		}
+	}
 	r, err := http.ReadRequest(c.br)
 	if err != nil {
 		return nil, badRequest("the request is malformed: " + err.Error())
 	}
-	if err := c.nc.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err := c.setReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, err
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
@@ -98,11 +164,14 @@
 			return nil, err
 		}
 	}
-	body, err := readBody(r, lim.BodyBytes)
+	if r.ContentLength > lim.BodyBytes {
+		return nil, errBodyTooLarge
+	}
+	body, err := c.readBody(r, lim.BodyBytes)
 	if err != nil {
-		return nil, timedOut(err)
+		return nil, err
 	}
-	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
+	if err := c.setReadDeadline(time.Time{}); err != nil {
 		return nil, err
 	}
 	c.method = r.Method
@@ -115,21 +184,28 @@
 
 // readHead returns the head of the next request, which stays in the buffer.
 func (c *Conn) readHead(limit int) ([]byte, error) {
-	for {
-		head, err := readHead(c.br, min(limit, c.br.Size()))
-		var bad *BadRequest
-		if c.br.Size() >= limit || !errors.As(err, &bad) || bad.Status != http.StatusRequestHeaderFieldsTooLarge {
-			return head, err
-		}
-		c.br = bufio.NewReaderSize(c.br, min(2*c.br.Size(), limit))
+	head, err := readHead(c.br, min(limit, c.br.Size()))
+	var bad *BadRequest
+	if c.br.Size() >= limit || !errors.As(err, &bad) || bad.Status != http.StatusRequestHeaderFieldsTooLarge {
+		return head, err
+	}
+	if err := c.growBuffer(limit); err != nil {
+		return nil, err
 	}
+	return readHead(c.br, limit)
 }
 
-// timedOut replaces an exceeded deadline by an error that is reported to the caller.
-func timedOut(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &BadRequest{http.StatusRequestTimeout, "the request did not arrive in time"}
+// growBuffer gives the read buffer at least a size and keeps what it holds.
+func (c *Conn) growBuffer(size int) error {
+	if c.br.Size() >= size {
+		return nil
 	}
+	if !c.client.Reserve(int64(size)) {
+		return errCrowded
+	}
+	kept, _ := c.br.Peek(c.br.Buffered())
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), c.nc), size)
+	_, err := c.br.Peek(len(kept))
 	return err
 }
 
@@ -167,17 +243,38 @@
 // WriteResponse writes a complete response. If head is set, the body is left out but its
 // length is announced.
 func (c *Conn) WriteResponse(status int, h http.Header, body []byte, head bool) error {
-	b := c.appendHead(make([]byte, 0, 512+len(body)), status, h)
+	size := 512
+	if len(body) <= smallWrite {
+		size += len(body)
+	}
+	b := c.appendHead(make([]byte, 0, size), status, h)
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		b = append(b, "Content-Length: "...)
 		b = strconv.AppendInt(b, int64(len(body)), 10)
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	if !head && !bodiless(c.method, status) {
-		b = append(b, body...)
+	if head || bodiless(c.method, status) {
+		return c.write(b)
+	}
+	if len(body) > smallWrite {
+		return c.write(b, body)
 	}
-	return c.write(b)
+	return c.write(append(b, body...))
+}
+
+// Refuse answers a request that was not read whole. The connection is to be closed.
+func (c *Conn) Refuse(status int, h http.Header, body []byte) {
+	c.client.SetState(intake.Leaving)
+	c.close = true
+	_ = c.WriteResponse(status, h, body, false)
+}
+
+// RefuseConn answers that no connection is left, without reading anything, and closes nc.
+func RefuseConn(nc net.Conn, h http.Header) {
+	c := Conn{nc: nc, close: true}
+	defer nc.Close()
+	_ = c.WriteResponse(http.StatusServiceUnavailable, h, []byte("no connection is left for clients\n"), false)
 }
 
 // WriteHead writes the head of a response whose length is not known. Its body follows in chunks,
@@ -209,6 +306,9 @@
 	if !c.chunked {
 		return c.write(p)
 	}
+	if len(p) > smallWrite {
+		return c.write(append(strconv.AppendInt(nil, int64(len(p)), 16), crlf...), p, crlf)
+	}
 	b := make([]byte, 0, len(p)+16)
 	b = strconv.AppendInt(b, int64(len(p)), 16)
 	b = append(b, "\r\n"...)
@@ -226,11 +326,17 @@
 	return c.write([]byte("0\r\n\r\n"))
 }
 
-func (c *Conn) write(b []byte) error {
+// write writes parts of an answer.
+func (c *Conn) write(parts ...[]byte) error {
 	if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err := c.nc.Write(b)
+	if len(parts) == 1 {
+		_, err := c.nc.Write(parts[0])
+		return err
+	}
+	all := net.Buffers(parts)
+	_, err := all.WriteTo(c.nc)
 	return err
 }
 
--- a/internal/adapter/sockets/sockets.go
+++ b/internal/adapter/sockets/sockets.go
@@ -4,6 +4,7 @@
 package sockets
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -36,6 +37,42 @@
 	return err
 }
 
+const (
+	// socketBuffer is the size in bytes of each buffer of a bounded socket. At a round trip of 5 ms it
+	// still allows 12 MB/s.
+	socketBuffer = 64 << 10
+	// ReceiveBytes and SendBytes are what the kernel holds at most of a bounded socket, in bytes: it
+	// doubles a buffer for its own bookkeeping.
+	ReceiveBytes = 2 * socketBuffer
+	SendBytes    = 2 * socketBuffer
+)
+
+// boundedControl is control, and bounds what the kernel holds: by itself it lets a buffer grow to
+// megabytes.
+func boundedControl(network, address string, c syscall.RawConn) error {
+	if err := control(network, address, c); err != nil {
+		return err
+	}
+	var err error
+	cerr := c.Control(func(fd uintptr) {
+		err = errors.Join(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer))
+	})
+	return errors.Join(cerr, err)
+}
+
+// BoundedListenConfig is ListenConfig for clients outside the system: the kernel holds no more than
+// ReceiveBytes and SendBytes for each connection.
+func BoundedListenConfig() net.ListenConfig {
+	return net.ListenConfig{Control: boundedControl, KeepAliveConfig: keepAlive}
+}
+
+// BoundedDialer is Dialer with the same bounds: a caller that does not read its answer must not let
+// megabytes of it pile up on the endpoint's side.
+func BoundedDialer(timeout time.Duration) net.Dialer {
+	return net.Dialer{Timeout: timeout, Control: boundedControl, KeepAliveConfig: keepAlive}
+}
+
 // ListenConfig returns a net.ListenConfig with these options.
 func ListenConfig() net.ListenConfig {
 	return net.ListenConfig{Control: control, KeepAliveConfig: keepAlive}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -234,10 +234,11 @@
 	return x.forwardPlain(e, resp)
 }
 
-// forwardPlain forwards an answer of up to maxBufferedBody after reading it to its end.
+// forwardPlain forwards an answer of up to maxBufferedBody after reading it to its end, unless too much is
+// held for callers.
 func (x *exchange) forwardPlain(e *endpoint, resp *http1.Response) (result, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
+	body, err := x.c.ReadAnswer(resp.Body, maxBufferedBody+1)
+	if err == nil && len(body) > maxBufferedBody || errors.Is(err, http1.ErrCrowded) {
 		return x.forwardLarge(e, resp, body)
 	}
 	end := x.judge(e, resp, err, ending.Opaque)
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
+	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/clients"
 	"github.com/cassiapass/cassiapass/internal/adapter/http1"
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/adapter/sockets"
@@ -18,6 +22,7 @@
 	"github.com/cassiapass/cassiapass/internal/core/feature"
 	"github.com/cassiapass/cassiapass/internal/core/fleet"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
+	"github.com/cassiapass/cassiapass/internal/core/intake"
 	"github.com/cassiapass/cassiapass/internal/core/limit"
 	"github.com/cassiapass/cassiapass/internal/core/state"
 )
@@ -47,6 +52,9 @@
 	// asks for an order of urgency under overload.
 	Features feature.Settings
 	Pressure bool
+	// Clients bounds what all callers together may make the entry hold; the zero value means the limits of
+	// a process whose memory is not known.
+	Clients intake.Limits
 	// Runs moves runs between endpoints; nil if they cannot be moved.
 	Runs RunMover
 	Log  zerolog.Logger
@@ -56,6 +64,8 @@
 type Gateway struct {
 	cfg      Config
 	listener net.Listener
+	clients  *clients.Registry
+	refusing chan struct{} // connections that are being refused
 	pool     *http1.Pool
 	dir      *directory
 	demands  *demands
@@ -92,10 +102,15 @@
 	// takes about 3 ms; one whose first packet is lost takes a second more.
 	dialTimeout   = 400 * time.Millisecond
 	sweepInterval = time.Second
+	// maxRefusing bounds the connections that are refused at the same time; others are closed unread.
+	maxRefusing = 16
 )
 
 // New opens the listener and starts the entry.
 func New(cfg Config) (*Gateway, error) {
+	if cfg.Clients == (intake.Limits{}) {
+		cfg.Clients = intake.LimitsOf(0, 0)
+	}
 	lc := sockets.ListenConfig()
 	l, err := lc.Listen(context.Background(), "tcp", cfg.Listen)
 	if err != nil {
@@ -103,7 +118,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		cfg: cfg, listener: l, pool: http1.NewPool(dialTimeout), dir: newDirectory(cfg.Zone, cfg.Log), demands: newDemands(), liveness: newLivenessChecker(), suspects: newSuspects(),
+		cfg: cfg, listener: l, clients: clients.New(cfg.Clients), refusing: make(chan struct{}, maxRefusing), pool: http1.NewPool(dialTimeout), dir: newDirectory(cfg.Zone, cfg.Log), demands: newDemands(), liveness: newLivenessChecker(), suspects: newSuspects(),
 		revocations: newRevocations(cfg.AbortRevoked), startedAt: time.Now(), firstDeployment: make(chan struct{}), ctx: ctx, cancel: cancel, conns: map[*http1.Conn]bool{}, budgets: map[string]*limit.Shared{},
 	}
 	g.pace.perToken = initialPace
@@ -249,7 +264,25 @@
 			time.Sleep(10 * time.Millisecond) // out of file descriptors; other connections will close
 			continue
 		}
-		go g.serve(http1.NewConn(nc, g.limits))
+		if c := http1.NewConn(nc, g.limits, g.clients); c != nil {
+			go g.serve(c)
+			continue
+		}
+		g.refuseConn(nc)
+	}
+}
+
+// refuseConn closes a connection because none is left for callers, and says so if it can at once.
+func (g *Gateway) refuseConn(nc net.Conn) {
+	g.metrics.countRequest("no_connection", "")
+	select {
+	case g.refusing <- struct{}{}:
+		go func() {
+			defer func() { <-g.refusing }()
+			http1.RefuseConn(nc, retryLater())
+		}()
+	default:
+		_ = nc.Close()
 	}
 }
 
@@ -266,10 +299,7 @@
 		var bad *http1.BadRequest
 		switch {
 		case errors.As(err, &bad):
-			c.CloseAfter()
-			g.metrics.countRequest("bad_request", "")
-			g.cfg.Log.Info().Str("remote", c.Remote()).Int("status", bad.Status).Str("reason", bad.Reason).Msg("request_malformed")
-			_ = c.WriteResponse(bad.Status, nil, []byte(bad.Reason+"\n"), false)
+			g.refuseUnread(c, bad)
 			return
 		case err != nil:
 			return
@@ -287,6 +317,23 @@
 	}
 }
 
+// refuseUnread refuses a request that was not read whole, and so has not run.
+func (g *Gateway) refuseUnread(c *http1.Conn, bad *http1.BadRequest) {
+	g.metrics.countRequest("bad_request", "")
+	g.cfg.Log.Info().Str("remote", c.Remote()).Int("status", bad.Status).Str("reason", bad.Reason).Msg("request_malformed")
+	h := http.Header{}
+	if bad.Status == http.StatusServiceUnavailable {
+		h = retryLater()
+	}
+	h.Set("Content-Type", "text/plain")
+	c.Refuse(bad.Status, h, []byte(bad.Reason+"\n"))
+}
+
+// retryLater returns the field that tells a refused caller when to retry.
+func retryLater() http.Header {
+	return http.Header{"Retry-After": {strconv.FormatFloat(fleet.RetryAfter(rand.Int64N).Seconds(), 'f', 2, 64)}}
+}
+
 func (g *Gateway) track(c *http1.Conn, busy bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/app/gateway/metrics.go
+++ b/internal/app/gateway/metrics.go
@@ -70,6 +70,7 @@
 		})
 	}
 	registerStandby(s, g)
+	g.clients.RegisterMetrics(s, "callers")
 	opshttp.RegisterByteCounters(s, &m.rpc)
 	return m
 }
