Entry: bounded socket buffers, counted where a caller does not read or sends ahead

What callers saw: the bytes that the kernel holds for a process count as its memory. Beside callers who did not read their answers, or sent on after a request that waited, an entry went over its limit.

Cause: the kernel lets a socket's buffers grow to megabytes. The entry stops reading while a request waits, and writes answers that nobody reads, so these bytes were bounded by connections alone.

Sockets of callers and those to endpoints now have buffers of 64 kB (the kernel doubles them). They count as held where they can fill: while a request arrives, once bytes follow a request that is in progress, and once an answer is larger than 16 kB. A caller that does not read for a second may be closed when memory is short; one that sends ahead is closed if there is no memory for it. An ordinary request of one packet with a small answer pays nothing of this.

Ruled out: asking the kernel for the length of its queues (a call for each connection), and smaller buffers for all (64 kB still allow 12 MB/s at a round trip of 5 ms).

--- a/internal/adapter/http1/client.go
+++ b/internal/adapter/http1/client.go
@@ -124,7 +124,7 @@
 	if !p.reserveOrReplace(addr, maxConns) {
 		return nil, errors.Join(ErrNotSent, ErrConnLimit)
 	}
-	d := sockets.Dialer(p.dialTimeout)
+	d := sockets.BoundedDialer(p.dialTimeout)
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.release(addr)
--- a/internal/adapter/http1/server.go
+++ b/internal/adapter/http1/server.go
@@ -31,6 +31,9 @@
 	chunked bool
 	method  string // of the newest request
 	noBody  bool   // the response has no body, whatever is written
+	// written are the bytes of the newest answer; sendCounted is set once those in the kernel count as held.
+	written     int
+	sendCounted bool
 	// toTheEnd is set while a body is under way that ends with the connection.
 	toTheEnd atomic.Bool
 }
@@ -45,10 +48,13 @@
 	// writeTimeout bounds one write: a caller that stops reading must not hold
 	// an endpoint's slot.
 	writeTimeout = 5 * time.Second
-	// smallWrite is the size of a part of a body up to which it is copied beside its framing.
+	// smallWrite is the size of an answer up to which the bytes in the kernel are not counted, and of a
+	// part of a body up to which it is copied beside its framing.
 	smallWrite = 16 << 10
 )
 
+var errAnswerCrowded = errors.New("too much is held for clients to send a large answer")
+
 // NewConn returns a Conn. limits is called for each request. What the connection holds is counted in
 // registry; nil counts nothing. It returns nil if no connection is left: Refuse may tell the caller so.
 func NewConn(nc net.Conn, limits func() Limits, registry *clients.Registry) *Conn {
@@ -174,7 +180,7 @@
 	if err := c.setReadDeadline(time.Time{}); err != nil {
 		return nil, err
 	}
-	c.method = r.Method
+	c.method, c.written, c.sendCounted = r.Method, 0, false
 	c.close = r.Close || (r.ProtoMajor == 1 && r.ProtoMinor == 0)
 	return &Request{
 		Method: r.Method, Target: r.RequestURI, Path: r.URL.EscapedPath(), Host: r.Host, Header: r.Header,
@@ -210,13 +216,18 @@
 }
 
 // Watch calls onClose when the caller closes the connection before Unwatch. A
-// pipelined request stays buffered and ends the watch.
+// pipelined request stays buffered and ends the watch; if too much is held for the
+// bytes after it, the connection is closed.
 func (c *Conn) Watch(onClose context.CancelFunc) {
 	done := make(chan struct{})
 	c.watched = done
 	go func() {
 		defer close(done)
 		_, err := c.br.Peek(1)
+		if err == nil && !c.client.Reserve(sockets.ReceiveBytes) {
+			c.Close()
+			err = net.ErrClosed
+		}
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			onClose()
 		}
@@ -326,11 +337,26 @@
 	return c.write([]byte("0\r\n\r\n"))
 }
 
-// write writes parts of an answer.
+// write writes parts of an answer. The kernel holds what the caller has not read; beyond a small answer
+// that counts as held for the caller.
 func (c *Conn) write(parts ...[]byte) error {
+	for _, p := range parts {
+		c.written += len(p)
+	}
+	if c.written > smallWrite {
+		if !c.sendCounted && !c.client.Reserve(sockets.SendBytes) {
+			return errAnswerCrowded
+		}
+		c.sendCounted = true
+		c.client.SetState(intake.Answering)
+		defer c.client.SetState(intake.Serving)
+	}
 	if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
+	if c.sendCounted && c.client.Evicted() {
+		return errAnswerCrowded
+	}
 	if len(parts) == 1 {
 		_, err := c.nc.Write(parts[0])
 		return err
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -111,7 +111,7 @@
 	if cfg.Clients == (intake.Limits{}) {
 		cfg.Clients = intake.LimitsOf(0, 0)
 	}
-	lc := sockets.ListenConfig()
+	lc := sockets.BoundedListenConfig()
 	l, err := lc.Listen(context.Background(), "tcp", cfg.Listen)
 	if err != nil {
 		return nil, oops.With("addr", cfg.Listen).Wrapf(err, "listen for callers")
