Entry: a refusal of a request that was not read reaches its caller and says when to retry

What callers saw: one that still sent its body when it was refused found the connection reset, and the refusal was lost; one that asked with Expect: 100-continue was told to go on and then refused; a 408, which promises that nothing has run, did not say when to retry.

Cause: the connection was closed with unread bytes, which resets it; the announced length was compared with the limit after the answer 100; refusals of requests that were not read bore no fields.

After such a refusal the entry closes its sending half and reads on for at most a second and 1 MB. While it does, the client holds nothing and its connection is the first to make way. The length is compared first.

Large heads and trailers of 15 kB are read as before.

--- a/internal/adapter/http1/server.go
+++ b/internal/adapter/http1/server.go
@@ -51,6 +51,9 @@
 	// smallWrite is the size of an answer up to which the bytes in the kernel are not counted, and of a
 	// part of a body up to which it is copied beside its framing.
 	smallWrite = 16 << 10
+	// lingerTime and lingerBytes bound what is read of a refused request after its refusal.
+	lingerTime  = time.Second
+	lingerBytes = 1 << 20
 )
 
 var errAnswerCrowded = errors.New("too much is held for clients to send a large answer")
@@ -162,6 +165,9 @@
 	if err != nil {
 		return nil, badRequest("the request is malformed: " + err.Error())
 	}
+	if r.ContentLength > lim.BodyBytes {
+		return nil, errBodyTooLarge
+	}
 	if err := c.setReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, err
 	}
@@ -170,9 +176,6 @@
 			return nil, err
 		}
 	}
-	if r.ContentLength > lim.BodyBytes {
-		return nil, errBodyTooLarge
-	}
 	body, err := c.readBody(r, lim.BodyBytes)
 	if err != nil {
 		return nil, err
@@ -274,11 +277,21 @@
 	return c.write(append(b, body...))
 }
 
-// Refuse answers a request that was not read whole. The connection is to be closed.
+// Refuse answers a request that was not read whole, and gives the caller a short time to read the
+// answer: a connection that is closed with unread bytes is reset, and the answer may be lost.
 func (c *Conn) Refuse(status int, h http.Header, body []byte) {
-	c.client.SetState(intake.Leaving)
+	counted := c.client.SetState(intake.Leaving)
 	c.close = true
-	_ = c.WriteResponse(status, h, body, false)
+	if err := c.WriteResponse(status, h, body, false); err != nil || !counted {
+		return
+	}
+	if tc, ok := c.nc.(*net.TCPConn); ok {
+		_ = tc.CloseWrite()
+	}
+	if err := c.nc.SetReadDeadline(time.Now().Add(lingerTime)); err != nil || c.client.Closed() {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.nc, lingerBytes))
 }
 
 // RefuseConn answers that no connection is left, without reading anything, and closes nc.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -322,7 +322,7 @@
 	g.metrics.countRequest("bad_request", "")
 	g.cfg.Log.Info().Str("remote", c.Remote()).Int("status", bad.Status).Str("reason", bad.Reason).Msg("request_malformed")
 	h := http.Header{}
-	if bad.Status == http.StatusServiceUnavailable {
+	if promisesNotRun(bad.Status) {
 		h = retryLater()
 	}
 	h.Set("Content-Type", "text/plain")
