Platform: operators, readiness and metrics within limits for all clients together

What was seen: control of 96 MB held 349 MB beside 60 configurations left open; 400 silent connections to readiness or to operators took all of 300 descriptors of entry or control.

Cause: these listeners had no bound on connections and no time limit for a body; each body grew by itself.

Each listener has limits of its own, so that a crowd at one leaves the others alone: operators as callers, readiness and metrics 5 % of the memory and 8 to 128 connections.

Ruled out: one budget for all listeners (a crowd at readiness would take the callers' part).

--- a/internal/adapter/clients/clients.go
+++ b/internal/adapter/clients/clients.go
@@ -147,21 +147,37 @@
 	c.r.ledger.Close(&c.entry)
 }
 
+// metricNames are the metrics of a registry.
+var metricNames = []string{
+	"cassiapass_clients_held_bytes", "cassiapass_clients_connections",
+	"cassiapass_clients_max_held_bytes", "cassiapass_clients_max_connections",
+	"cassiapass_clients_refused_for_memory_total", "cassiapass_clients_refused_for_connections_total",
+	"cassiapass_clients_evicted_total",
+}
+
+func metricName(name, listener string) string { return fmt.Sprintf("%s{listener=%q}", name, listener) }
+
 // RegisterMetrics adds what the clients hold, their limits and what was refused to a set of metrics.
 // listener tells several registries of a process apart.
 func (r *Registry) RegisterMetrics(s *vm.Set, listener string) {
-	gauge := func(name string, f func() float64) {
-		s.NewGauge(fmt.Sprintf("cassiapass_clients_%s{listener=%q}", name, listener), func() float64 {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			return f()
-		})
+	UnregisterMetrics(s, listener)
+	for i, name := range metricNames {
+		s.NewGauge(metricName(name, listener), func() float64 { return r.values()[i] })
 	}
-	gauge("held_bytes", func() float64 { b, _ := r.ledger.Used(); return float64(b) })
-	gauge("connections", func() float64 { _, n := r.ledger.Used(); return float64(n) })
-	gauge("max_held_bytes", func() float64 { return float64(r.ledger.Limits().Bytes) })
-	gauge("max_connections", func() float64 { return float64(r.ledger.Limits().Conns) })
-	gauge("refused_for_memory_total", func() float64 { return float64(r.refusedBytes) })
-	gauge("refused_for_connections_total", func() float64 { return float64(r.refusedConns) })
-	gauge("evicted_total", func() float64 { return float64(r.evicted) })
+}
+
+// UnregisterMetrics removes the metrics of a registry from a set.
+func UnregisterMetrics(s *vm.Set, listener string) {
+	for _, name := range metricNames {
+		s.UnregisterMetric(metricName(name, listener))
+	}
+}
+
+// values returns the values of the metrics, in the order of metricNames.
+func (r *Registry) values() []float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	bytes, conns := r.ledger.Used()
+	l := r.ledger.Limits()
+	return []float64{float64(bytes), float64(conns), float64(l.Bytes), float64(l.Conns), float64(r.refusedBytes), float64(r.refusedConns), float64(r.evicted)}
 }
--- a/internal/adapter/http1/server.go
+++ b/internal/adapter/http1/server.go
@@ -131,7 +131,7 @@
 		c.client.Arrived(sockets.ReceiveBytes)
 		return r, nil
 	}
-	if c.client.Evicted() {
+	if c.client.Evicted() || errors.Is(err, clients.ErrCrowded) {
 		return nil, errCrowded
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/adapter/opshttp/opshttp.go
+++ b/internal/adapter/opshttp/opshttp.go
@@ -11,6 +11,7 @@
 	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/httpserver"
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 )
 
@@ -27,6 +28,7 @@
 	Health(e, ready)
 	e.GET("/metrics", func(x echo.Context) error {
 		set.WritePrometheus(x.Response())
+		httpserver.Metrics.WritePrometheus(x.Response())
 		vm.WriteProcessMetrics(x.Response()) // memory, processor time, file descriptors
 		return nil
 	})
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/clients"
 	"github.com/cassiapass/cassiapass/internal/adapter/http1"
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/ending"
@@ -238,7 +239,7 @@
 // held for callers.
 func (x *exchange) forwardPlain(e *endpoint, resp *http1.Response) (result, error) {
 	body, err := x.c.ReadAnswer(resp.Body, maxBufferedBody+1)
-	if err == nil && len(body) > maxBufferedBody || errors.Is(err, http1.ErrCrowded) {
+	if err == nil && len(body) > maxBufferedBody || errors.Is(err, clients.ErrCrowded) {
 		return x.forwardLarge(e, resp, body)
 	}
 	end := x.judge(e, resp, err, ending.Opaque)
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -19,6 +19,9 @@
 	Conns int   // open connections
 }
 
+// LargestRequest returns the bytes that one client may hold.
+func (l Limits) LargestRequest() int64 { return l.Bytes - l.Bytes/smallShare }
+
 // State is what a client does.
 type State uint8
 
@@ -211,7 +214,7 @@
 	if held <= smallRequest {
 		return l.limits.Bytes
 	}
-	return l.limits.Bytes - l.limits.Bytes/smallShare
+	return l.limits.LargestRequest()
 }
 
 // heaviest returns the client with the greatest weight, nil if that is c with n bytes more.
--- a/internal/core/intake/limits.go
+++ b/internal/core/intake/limits.go
@@ -15,6 +15,14 @@
 	// defaultMemory is assumed for a process without a known memory limit.
 	defaultMemory = 1 << 30
 	minConns      = 8
+	// sideMemoryShare and sideFilesShare are the parts for clients of a listener that serves few requests
+	// of few bytes, such as readiness and metrics.
+	sideMemoryShare = 0.05
+	sideFilesShare  = 0.05
+	maxSideConns    = 128
+	// peerFilesShare is the part of the descriptors for the internal protocol of a process that has other
+	// listeners too.
+	peerFilesShare = 0.5
 )
 
 // LimitsOf returns the limits for the clients of a process with an amount of memory in bytes and a number
@@ -31,6 +39,32 @@
 	return l
 }
 
+// SideLimitsOf returns the limits for a listener that serves few requests of few bytes beside the one that
+// the process is for.
+func SideLimitsOf(memory int64, files int) Limits {
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	return Limits{Bytes: int64(float64(memory) * sideMemoryShare), Conns: SideConns(files)}
+}
+
+// PeerLimitsOf returns the limits for the internal protocol of a process that has other listeners too.
+func PeerLimitsOf(memory int64, files int) Limits {
+	l := LimitsOf(memory, files)
+	if files > 0 {
+		l.Conns = max(min(l.Conns, int(float64(files)*peerFilesShare)), minConns)
+	}
+	return l
+}
+
+// SideConns returns the connections for a listener that few clients use.
+func SideConns(files int) int {
+	if files <= 0 {
+		return maxSideConns
+	}
+	return min(max(int(float64(files)*sideFilesShare), minConns), maxSideConns)
+}
+
 const (
 	// headFactor is how many bytes the parsed head of a request takes for each byte of its text.
 	headFactor = 3
