Internal protocol: messages and connections within limits for all peers together

What was seen: control of 96 MB held 261 MB beside 60 peers that announced 64 MB each and sent 4 MB; 400 silent connections to its port took all of 300 descriptors, and no configuration could be read for 20 s.

Cause: a message got its memory when its length was announced, up to 256 MB, before anyone had shown who it was; connections had no bound, on the platform not even the time of a handshake.

A message gets its memory as it arrives, and what exceeds 64 kB counts for all peers together. A connection makes way for others until its peer has authenticated itself or, where there is no key, has sent a whole message. A peer that stalls in a large message is closed first when memory is short.

--- a/internal/adapter/rpc/frame.go
+++ b/internal/adapter/rpc/frame.go
@@ -13,6 +13,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cassiapass/cassiapass/internal/adapter/clients"
+	"github.com/cassiapass/cassiapass/internal/core/intake"
 )
 
 const (
@@ -56,6 +59,8 @@
 	lastReceived   atomic.Int64 // nanoseconds from openedAt to the last frame received
 	lastChunk      atomic.Int64 // nanoseconds from openedAt to the last chunk written of a frame with several
 	onNotification func(method string, params json.RawMessage)
+	client         *clients.Client // the peer, where it connected to this process; nil otherwise
+	provesItself   bool            // by its first whole frame, as it does not authenticate itself
 
 	mu sync.Mutex
 	w  *bufio.Writer
@@ -197,8 +202,8 @@
 	if n > limit {
 		return nil, false, fmt.Errorf("message of %d bytes announced; at most %d are read", n, limit)
 	}
-	body = make([]byte, n)
-	if _, err := io.ReadFull(s.r, body); err != nil {
+	body, err = s.readBody(int64(n))
+	if err != nil {
 		return nil, false, err
 	}
 	s.count.In.Add(int64(n + frameHeader))
@@ -206,5 +211,31 @@
 	return body, length&notificationFlag != 0, nil
 }
 
+// firstBuffer is the first size of the buffer for a frame: it grows as the frame arrives, since anyone may
+// announce one.
+const firstBuffer = 64 << 10
+
+// readBody reads a frame of n bytes. While a large one arrives it counts as held for the peer, which may be
+// refused meanwhile.
+func (s *stream) readBody(n int64) ([]byte, error) {
+	large := n > firstBuffer
+	if large || s.provesItself {
+		s.client.SetState(intake.Receiving)
+	}
+	body, err := s.client.ReadAll(s.r, clients.Reading{Limit: n, First: min(n, firstBuffer), FromElsewhere: !large})
+	if err == nil && int64(len(body)) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	if large || s.provesItself {
+		s.provesItself = false
+		s.client.SetState(intake.Serving)
+		s.client.Release(int64(cap(body)))
+	}
+	return body, nil
+}
+
 // Close closes the connection.
 func (s *stream) Close() error { return s.conn.Close() }
--- a/internal/adapter/rpc/rpc.go
+++ b/internal/adapter/rpc/rpc.go
@@ -13,7 +13,10 @@
 	"github.com/samber/oops"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/clients"
+	"github.com/cassiapass/cassiapass/internal/adapter/httpserver"
 	"github.com/cassiapass/cassiapass/internal/adapter/sockets"
+	"github.com/cassiapass/cassiapass/internal/core/intake"
 )
 
 // Security configures how connections are protected. Key may be empty only if the
@@ -22,6 +25,9 @@
 	Key    []byte
 	Server *tls.Config // nil for plain TCP
 	Client *tls.Config
+	// Limits bound what all processes that connect may hold together; the zero value means those of a
+	// process whose memory is not known.
+	Limits intake.Limits
 }
 
 // Handler handles calls and notifications of the peer. The result of a
@@ -174,6 +180,7 @@
 	handle        Handler
 	onClose       func(*Conn)
 	onAuthFailure func(remote string, err error)
+	clients       *clients.Registry
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -187,7 +194,11 @@
 	if err != nil {
 		return nil, oops.With("addr", addr).Wrapf(err, "listen")
 	}
-	s := &Server{listener: l, sec: sec, count: count, handle: h, onClose: onClose, onAuthFailure: onAuthFailure, conns: map[*Conn]struct{}{}}
+	if sec.Limits == (intake.Limits{}) {
+		sec.Limits = intake.LimitsOf(0, 0)
+	}
+	s := &Server{listener: l, clients: clients.New(sec.Limits), sec: sec, count: count, handle: h, onClose: onClose, onAuthFailure: onAuthFailure, conns: map[*Conn]struct{}{}}
+	s.clients.RegisterMetrics(httpserver.Metrics, s.Addr())
 	go s.accept()
 	return s, nil
 }
@@ -198,6 +209,7 @@
 // Close stops accepting and closes every connection.
 func (s *Server) Close() {
 	_ = s.listener.Close()
+	clients.UnregisterMetrics(httpserver.Metrics, s.Addr())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -215,16 +227,23 @@
 			time.Sleep(10 * time.Millisecond) // out of file descriptors; retry once other connections have closed
 			continue
 		}
-		go s.serve(nc)
+		client := s.clients.Open(func() { _ = nc.Close() })
+		if client == nil {
+			_ = nc.Close()
+			continue
+		}
+		go s.serve(nc, client)
 	}
 }
 
-func (s *Server) serve(nc net.Conn) {
+func (s *Server) serve(nc net.Conn, client *clients.Client) {
+	defer client.Close()
 	nc = boundSends(nc)
 	if s.sec.Server != nil {
 		nc = tls.Server(nc, s.sec.Server)
 	}
 	st := newStream(nc, s.count)
+	st.client, st.provesItself = client, len(s.sec.Key) == 0
 	if len(s.sec.Key) > 0 {
 		if err := authenticateServer(st, s.sec.Key); err != nil {
 			nc.Close()
@@ -234,6 +253,9 @@
 			return
 		}
 	}
+	if !st.provesItself {
+		client.SetState(intake.Serving)
+	}
 	// The connection is registered before its first message can be handled.
 	s.mu.Lock()
 	c := start(context.Background(), st, s.handle)
