Entry, control and agent as separate programs: limits for all clients together

What was seen: cassiapass-entry of 96 MB held 619 MB beside 40 bodies left open and 131 MB beside heads of small fields, cassiapass-control 384 MB beside records left open; 400 silent connections to any listener of entry, control or agent took all of 300 descriptors.

Cause: 8 MB for each of 4,096 requests, 4 MB for each record, 16,384 connections for each listener, none of it derived from the memory or the descriptors that the program has.

All listeners run on adapter/httpserver; callers and operators have limits as on the platform, metrics small ones, the internal protocol those for peers. cassiapass-dev gets the defaults. An answer that is not streamed is buffered only as long as there is room, and streamed otherwise.

Open: decoding a whole completion takes up to six times its body for a moment, uncounted (DESIGN.md).

--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/netip"
 	"os"
 	"regexp"
@@ -16,9 +17,11 @@
 
 	flags "github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/adapter/tlsconf"
+	"github.com/cassiapass/cassiapass/internal/core/intake"
 )
 
 // ExitUsage is the exit code for invalid settings.
@@ -170,6 +173,66 @@
 	return t
 }
 
+// Resources holds the settings that bound what a process takes, and what its clients make it hold.
+type Resources struct {
+	Memory  int64 `long:"memory-limit" env:"CASSIAPASS_MEMORY_LIMIT" default:"1073741824" description:"memory that this process may take, bytes"`
+	Files   int   `long:"file-limit" env:"CASSIAPASS_FILE_LIMIT" description:"descriptors that this process may open; 0 for the bound of the system"`
+	Clients int64 `long:"client-memory" env:"CASSIAPASS_CLIENT_MEMORY" description:"memory for requests and answers of all clients of a listener together, bytes; 0 for a share of --memory-limit"`
+	Conns   int   `long:"client-connections" env:"CASSIAPASS_CLIENT_CONNECTIONS" description:"connections of all clients of a listener together; 0 for a share of the memory and the descriptors"`
+}
+
+// heapShare is the part of the memory that the garbage collector keeps to if it can. The rest is for
+// stacks and what the kernel holds.
+const heapShare = 0.7
+
+// Check checks the settings and bounds the heap.
+func (r *Resources) Check(c *Checker) {
+	Positive(c, "memory-limit", r.Memory)
+	for flag, v := range map[string]int64{"file-limit": int64(r.Files), "client-memory": r.Clients, "client-connections": int64(r.Conns)} {
+		if v < 0 {
+			c.Fail(flag, fmt.Sprint(v), "at least 0")
+		}
+	}
+	debug.SetMemoryLimit(int64(float64(r.Memory) * heapShare))
+}
+
+// files returns the descriptors that the process may open, 0 if that is not known.
+func (r *Resources) files() int {
+	var l unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil || l.Cur > math.MaxInt32 {
+		return r.Files
+	}
+	if r.Files > 0 {
+		return min(r.Files, int(l.Cur))
+	}
+	return int(l.Cur)
+}
+
+// ClientLimits returns the limits for the clients that the process is for.
+func (r *Resources) ClientLimits() intake.Limits {
+	l := intake.LimitsOf(r.Memory, r.files())
+	if r.Clients > 0 {
+		l.Bytes = r.Clients
+	}
+	if r.Conns > 0 {
+		l.Conns = r.Conns
+	}
+	return l
+}
+
+// SideLimits returns the limits for a listener that few clients use, such as metrics.
+func (r *Resources) SideLimits() intake.Limits { return intake.SideLimitsOf(r.Memory, r.files()) }
+
+// OperatorLimits returns the limits for a listener that few clients use with large requests.
+func (r *Resources) OperatorLimits() intake.Limits {
+	l := r.ClientLimits()
+	l.Conns = intake.SideConns(r.files())
+	return l
+}
+
+// PeerLimits returns the limits for a listener of the internal protocol beside others.
+func (r *Resources) PeerLimits() intake.Limits { return intake.PeerLimitsOf(r.Memory, r.files()) }
+
 // Logging holds the settings of the log.
 type Logging struct {
 	Level string `long:"log-level" env:"CASSIAPASS_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
--- a/internal/app/control/http.go
+++ b/internal/app/control/http.go
@@ -15,6 +15,8 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/clients"
+	"github.com/cassiapass/cassiapass/internal/adapter/httpserver"
 	"github.com/cassiapass/cassiapass/internal/adapter/opshttp"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/record"
@@ -22,7 +24,12 @@
 	"github.com/cassiapass/cassiapass/internal/wire"
 )
 
-const operatorTimeout = 10 * time.Second
+const (
+	operatorTimeout = 10 * time.Second
+	// decodeFactor is how many bytes a change takes for each byte of its text while it is decoded and
+	// decided.
+	decodeFactor = 4
+)
 
 // Change is an operator's submission, revision or withdrawal.
 type Change struct {
@@ -138,7 +145,10 @@
 // readChange reads an operator's request body.
 func readChange(x echo.Context) (Change, error) {
 	var ch Change
-	body, err := io.ReadAll(io.LimitReader(x.Request().Body, record.MaxBytes+1<<16))
+	body, err := httpserver.ReadBody(x.Request(), record.MaxBytes+1<<16)
+	if err == nil && !httpserver.Reserve(x.Request(), decodeFactor*int64(len(body))) {
+		err = clients.ErrCrowded
+	}
 	if err != nil {
 		return ch, err
 	}
@@ -148,6 +158,20 @@
 	return ch, nil
 }
 
+// refuseChange answers that a change could not be read.
+func refuseChange(x echo.Context, err error) error {
+	f := Failure{Code: string(state.Invalid), Message: err.Error()}
+	switch {
+	case errors.Is(err, clients.ErrCrowded):
+		f.Code = "unavailable"
+		x.Response().Header().Set("Retry-After", "1")
+		return x.JSON(http.StatusServiceUnavailable, f)
+	case errors.Is(err, httpserver.ErrTooLarge):
+		return x.JSON(http.StatusRequestEntityTooLarge, f)
+	}
+	return x.JSON(http.StatusBadRequest, f)
+}
+
 func operatorName(x echo.Context) string {
 	if by := x.Request().Header.Get("Cassiapass-Operator"); by != "" {
 		return by
@@ -158,7 +182,7 @@
 func (c *Control) httpSubmit(x echo.Context) error {
 	ch, err := readChange(x)
 	if err != nil {
-		return x.JSON(http.StatusBadRequest, Failure{Code: string(state.Invalid), Message: err.Error()})
+		return refuseChange(x, err)
 	}
 	// Rejected here before it takes an entry of the log; the state machine checks
 	// again, because only its result is the same on all hosts.
@@ -172,7 +196,7 @@
 func (c *Control) httpWithdraw(x echo.Context) error {
 	ch, err := readChange(x)
 	if err != nil {
-		return x.JSON(http.StatusBadRequest, Failure{Code: string(state.Invalid), Message: err.Error()})
+		return refuseChange(x, err)
 	}
 	cmd := state.Command{By: operatorName(x), Withdraw: &state.Withdraw{Request: ch.Request, Name: x.Param("name"), Base: ch.Base, Reason: ch.Reason}}
 	return c.decide(x, cmd)
--- a/internal/app/daemon/agent.go
+++ b/internal/app/daemon/agent.go
@@ -16,22 +16,23 @@
 // AgentOptions are the settings of cassiapass-agent.
 type AgentOptions struct {
 	settings.Identity `group:"Identity"`
-	Place             string            `long:"place" env:"CASSIAPASS_PLACE" description:"deployment that this endpoint belongs to, as records name it"`
-	Control           []string          `long:"control" env:"CASSIAPASS_CONTROL" env-delim:"," description:"addresses of control hosts, nearest first; repeat the flag or separate by commas"`
-	Listen            string            `long:"listen" env:"CASSIAPASS_LISTEN" description:"address for entries, IP number and port"`
-	Advertise         string            `long:"advertise" env:"CASSIAPASS_ADVERTISE" description:"address under which entries reach --listen, if it differs"`
-	HTTP              string            `long:"operator-listen" env:"CASSIAPASS_OPERATOR_LISTEN" description:"address for metrics, health and debugging"`
-	Engine            string            `long:"engine-url" env:"CASSIAPASS_ENGINE_URL" description:"base URL of the model engine"`
-	Memory            int64             `long:"memory" env:"CASSIAPASS_MEMORY" description:"accelerator memory that replicas may take, bytes; leave room for the KV cache"`
-	Fencing           string            `long:"engine-fencing" env:"CASSIAPASS_ENGINE_FENCING" default:"ignored" description:"honoured if the engine refuses orders with an old fencing number, else ignored"`
-	LongestOrder      time.Duration     `long:"longest-order" env:"CASSIAPASS_LONGEST_ORDER" default:"10m" description:"time after which an order can no longer take effect at the engine"`
-	Plain             string            `long:"plain-url" env:"CASSIAPASS_PLAIN_URL" description:"base URL of the plain service, instead of an engine"`
-	Serves            string            `long:"serves" env:"CASSIAPASS_SERVES" description:"name of the plain service behind --plain-url"`
-	Slots             int               `long:"slots" env:"CASSIAPASS_SLOTS" default:"16" description:"requests that run at once"`
-	MaxQueue          int               `long:"max-queue" env:"CASSIAPASS_MAX_QUEUE" default:"256" description:"requests that wait; more are refused as not run"`
-	DrainLimit        time.Duration     `long:"drain-limit" env:"CASSIAPASS_DRAIN_LIMIT" default:"10m" description:"longest wait for requests in progress at a planned stop"`
-	Security          settings.Security `group:"Security"`
-	Logging           settings.Logging  `group:"Logging"`
+	Place             string             `long:"place" env:"CASSIAPASS_PLACE" description:"deployment that this endpoint belongs to, as records name it"`
+	Control           []string           `long:"control" env:"CASSIAPASS_CONTROL" env-delim:"," description:"addresses of control hosts, nearest first; repeat the flag or separate by commas"`
+	Listen            string             `long:"listen" env:"CASSIAPASS_LISTEN" description:"address for entries, IP number and port"`
+	Advertise         string             `long:"advertise" env:"CASSIAPASS_ADVERTISE" description:"address under which entries reach --listen, if it differs"`
+	HTTP              string             `long:"operator-listen" env:"CASSIAPASS_OPERATOR_LISTEN" description:"address for metrics, health and debugging"`
+	Engine            string             `long:"engine-url" env:"CASSIAPASS_ENGINE_URL" description:"base URL of the model engine"`
+	Memory            int64              `long:"memory" env:"CASSIAPASS_MEMORY" description:"accelerator memory that replicas may take, bytes; leave room for the KV cache"`
+	Fencing           string             `long:"engine-fencing" env:"CASSIAPASS_ENGINE_FENCING" default:"ignored" description:"honoured if the engine refuses orders with an old fencing number, else ignored"`
+	LongestOrder      time.Duration      `long:"longest-order" env:"CASSIAPASS_LONGEST_ORDER" default:"10m" description:"time after which an order can no longer take effect at the engine"`
+	Plain             string             `long:"plain-url" env:"CASSIAPASS_PLAIN_URL" description:"base URL of the plain service, instead of an engine"`
+	Serves            string             `long:"serves" env:"CASSIAPASS_SERVES" description:"name of the plain service behind --plain-url"`
+	Slots             int                `long:"slots" env:"CASSIAPASS_SLOTS" default:"16" description:"requests that run at once"`
+	MaxQueue          int                `long:"max-queue" env:"CASSIAPASS_MAX_QUEUE" default:"256" description:"requests that wait; more are refused as not run"`
+	DrainLimit        time.Duration      `long:"drain-limit" env:"CASSIAPASS_DRAIN_LIMIT" default:"10m" description:"longest wait for requests in progress at a planned stop"`
+	Resources         settings.Resources `group:"Resources"`
+	Security          settings.Security  `group:"Security"`
+	Logging           settings.Logging   `group:"Logging"`
 }
 
 const (
@@ -55,7 +56,9 @@
 		settings.Positive(c, "slots", o.Slots)
 		settings.Positive(c, "max-queue", o.MaxQueue)
 		settings.Positive(c, "drain-limit", o.DrainLimit)
+		o.Resources.Check(c)
 		cfg.Security = o.Security.Load(c)
+		cfg.Security.Limits = o.Resources.PeerLimits()
 		level = o.Logging.Check(c)
 	})
 	if !ok {
@@ -74,7 +77,7 @@
 	if err != nil {
 		return exitFailed, err
 	}
-	ops, err := Serve(o.HTTP, a.API(), "", "", log)
+	ops, err := Serve(o.HTTP, a.API(), Listener{Limits: o.Resources.SideLimits(), Log: log})
 	if err != nil {
 		a.Kill()
 		return exitFailed, err
--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -26,25 +26,26 @@
 // ControlOptions are the settings of cassiapass-control.
 type ControlOptions struct {
 	settings.Identity `group:"Identity"`
-	Listen            string            `long:"listen" env:"CASSIAPASS_LISTEN" description:"address for the system's own processes, IP number and port"`
-	Advertise         string            `long:"advertise" env:"CASSIAPASS_ADVERTISE" description:"address under which they reach --listen, if it differs"`
-	HTTP              string            `long:"operator-listen" env:"CASSIAPASS_OPERATOR_LISTEN" description:"address for operators, metrics and health"`
-	HTTPCert          string            `long:"operator-tls-cert" env:"CASSIAPASS_OPERATOR_TLS_CERT" description:"PEM certificate for TLS on --operator-listen"`
-	HTTPKey           string            `long:"operator-tls-key" env:"CASSIAPASS_OPERATOR_TLS_KEY" description:"PEM key of --operator-tls-cert"`
-	TokenFile         string            `long:"operator-token-file" env:"CASSIAPASS_OPERATOR_TOKEN_FILE" description:"file with the token that operators send"`
-	NoToken           bool              `long:"insecure-no-operator-token" env:"CASSIAPASS_INSECURE_NO_OPERATOR_TOKEN" description:"let everybody who reaches --operator-listen change records"`
-	Data              string            `long:"data" env:"CASSIAPASS_DATA" description:"data folder"`
-	Bootstrap         bool              `long:"bootstrap" env:"CASSIAPASS_BOOTSTRAP" description:"start a new group if the data folder is empty; on the first host only"`
-	HostList          string            `long:"host-list-url" env:"CASSIAPASS_HOST_LIST_URL" description:"URL of the platform's list of hosts"`
-	HostListInterval  time.Duration     `long:"host-list-interval" env:"CASSIAPASS_HOST_LIST_INTERVAL" default:"2s" description:"time between reads of the host list"`
-	GoneWait          time.Duration     `long:"gone-wait" env:"CASSIAPASS_GONE_WAIT" default:"30s" description:"absence from the host list before a silent host is forgotten; longer than the list may lag"`
-	StoreRate         float64           `long:"store-rate" env:"CASSIAPASS_STORE_RATE" default:"10" description:"loads per second that the weight store allows"`
-	StoreConcurrent   int               `long:"store-concurrent" env:"CASSIAPASS_STORE_CONCURRENT" default:"4" description:"loads at once that the store serves at full speed"`
-	StoreSpeed        float64           `long:"store-speed" env:"CASSIAPASS_STORE_SPEED" default:"2e9" description:"first estimate of one load from the store, bytes per second"`
-	DiskSpeed         float64           `long:"disk-speed" env:"CASSIAPASS_DISK_SPEED" default:"5e9" description:"first estimate of one load from an endpoint's disk, bytes per second"`
-	MemorySpeed       float64           `long:"memory-speed" env:"CASSIAPASS_MEMORY_SPEED" default:"20e9" description:"first estimate of one load from an endpoint's memory, bytes per second"`
-	Security          settings.Security `group:"Security"`
-	Logging           settings.Logging  `group:"Logging"`
+	Listen            string             `long:"listen" env:"CASSIAPASS_LISTEN" description:"address for the system's own processes, IP number and port"`
+	Advertise         string             `long:"advertise" env:"CASSIAPASS_ADVERTISE" description:"address under which they reach --listen, if it differs"`
+	HTTP              string             `long:"operator-listen" env:"CASSIAPASS_OPERATOR_LISTEN" description:"address for operators, metrics and health"`
+	HTTPCert          string             `long:"operator-tls-cert" env:"CASSIAPASS_OPERATOR_TLS_CERT" description:"PEM certificate for TLS on --operator-listen"`
+	HTTPKey           string             `long:"operator-tls-key" env:"CASSIAPASS_OPERATOR_TLS_KEY" description:"PEM key of --operator-tls-cert"`
+	TokenFile         string             `long:"operator-token-file" env:"CASSIAPASS_OPERATOR_TOKEN_FILE" description:"file with the token that operators send"`
+	NoToken           bool               `long:"insecure-no-operator-token" env:"CASSIAPASS_INSECURE_NO_OPERATOR_TOKEN" description:"let everybody who reaches --operator-listen change records"`
+	Data              string             `long:"data" env:"CASSIAPASS_DATA" description:"data folder"`
+	Bootstrap         bool               `long:"bootstrap" env:"CASSIAPASS_BOOTSTRAP" description:"start a new group if the data folder is empty; on the first host only"`
+	HostList          string             `long:"host-list-url" env:"CASSIAPASS_HOST_LIST_URL" description:"URL of the platform's list of hosts"`
+	HostListInterval  time.Duration      `long:"host-list-interval" env:"CASSIAPASS_HOST_LIST_INTERVAL" default:"2s" description:"time between reads of the host list"`
+	GoneWait          time.Duration      `long:"gone-wait" env:"CASSIAPASS_GONE_WAIT" default:"30s" description:"absence from the host list before a silent host is forgotten; longer than the list may lag"`
+	StoreRate         float64            `long:"store-rate" env:"CASSIAPASS_STORE_RATE" default:"10" description:"loads per second that the weight store allows"`
+	StoreConcurrent   int                `long:"store-concurrent" env:"CASSIAPASS_STORE_CONCURRENT" default:"4" description:"loads at once that the store serves at full speed"`
+	StoreSpeed        float64            `long:"store-speed" env:"CASSIAPASS_STORE_SPEED" default:"2e9" description:"first estimate of one load from the store, bytes per second"`
+	DiskSpeed         float64            `long:"disk-speed" env:"CASSIAPASS_DISK_SPEED" default:"5e9" description:"first estimate of one load from an endpoint's disk, bytes per second"`
+	MemorySpeed       float64            `long:"memory-speed" env:"CASSIAPASS_MEMORY_SPEED" default:"20e9" description:"first estimate of one load from an endpoint's memory, bytes per second"`
+	Resources         settings.Resources `group:"Resources"`
+	Security          settings.Security  `group:"Security"`
+	Logging           settings.Logging   `group:"Logging"`
 }
 
 // Control runs cassiapass-control until a stop signal arrives and returns its exit code.
@@ -72,7 +73,9 @@
 		settings.Positive(c, "memory-speed", o.MemorySpeed)
 		checkPair(c, "operator-tls", o.HTTPCert, o.HTTPKey)
 		token = settings.ReadToken(c, "operator-token-file", o.TokenFile, o.NoToken)
+		o.Resources.Check(c)
 		cfg.Security = o.Security.Load(c)
+		cfg.Security.Limits = o.Resources.PeerLimits()
 		level = o.Logging.Check(c)
 	})
 	if !ok {
@@ -96,7 +99,7 @@
 	if err != nil {
 		return exitFailed, err
 	}
-	api, err := Serve(o.HTTP, c.API(token), o.HTTPCert, o.HTTPKey, log)
+	api, err := Serve(o.HTTP, c.API(token), Listener{Cert: o.HTTPCert, Key: o.HTTPKey, Limits: o.Resources.OperatorLimits(), Log: log})
 	if err != nil {
 		c.Kill()
 		return exitFailed, err
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -5,71 +5,44 @@
 package daemon
 
 import (
-	"context"
-	"crypto/tls"
-	"errors"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/samber/oops"
-	"golang.org/x/net/netutil"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/httpserver"
 	"github.com/cassiapass/cassiapass/internal/adapter/tlsconf"
+	"github.com/cassiapass/cassiapass/internal/core/intake"
 )
 
-const (
-	headerTimeout = 5 * time.Second  // callers that send their header more slowly are disconnected
-	bodyTimeout   = 30 * time.Second // limit for reading header and body together
-	idleTimeout   = 60 * time.Second
-	maxHeader     = 32 << 10
-	maxConns      = 16384 // per listener; further connections wait in the kernel's queue
-)
-
-// HTTP is one running HTTP listener.
-type HTTP struct {
-	srv *http.Server
-	l   net.Listener
+// Listener are the settings of an HTTP listener.
+type Listener struct {
+	Cert, Key string        // names of PEM files for TLS; empty for plain TCP
+	Limits    intake.Limits // for all clients together; the zero value means those of unknown memory
+	Log       zerolog.Logger
 }
 
-// Serve starts an HTTP listener at addr. It uses TLS if cert is not empty; cert and key are
-// names of PEM files. It returns an error if it cannot listen or load the certificate.
-func Serve(addr string, h http.Handler, cert, key string, log zerolog.Logger) (*HTTP, error) {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, oops.With("addr", addr).Wrapf(err, "listen")
+// maxHeader is the largest head of a request to a daemon.
+const maxHeader = 32 << 10
+
+// Serve starts an HTTP listener at addr. It returns an error if it cannot listen or load the certificate.
+func Serve(addr string, h http.Handler, l Listener) (*httpserver.Server, error) {
+	if l.Limits == (intake.Limits{}) {
+		l.Limits = intake.LimitsOf(0, 0)
 	}
-	l = netutil.LimitListener(l, maxConns)
-	s := &HTTP{l: l, srv: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}}
-	if cert != "" {
-		c, err := tlsconf.Server(tlsconf.Files{Cert: cert, Key: key})
+	cfg := httpserver.Config{Addr: addr, Handler: h, Limits: l.Limits, HeaderBytes: maxHeader, Log: l.Log}
+	if l.Cert != "" {
+		c, err := tlsconf.Server(tlsconf.Files{Cert: l.Cert, Key: l.Key})
 		if err != nil {
-			_ = l.Close()
 			return nil, err
 		}
-		l = tls.NewListener(l, c)
+		cfg.TLS = c
 	}
-	go func() {
-		if err := s.srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			log.Error().Err(err).Msg("http_listener_failed")
-		}
-	}()
-	return s, nil
+	return httpserver.Listen(cfg)
 }
 
-// Addr returns the address that the listener is bound to.
-func (s *HTTP) Addr() string { return s.l.Addr().String() }
-
-// Shutdown stops accepting connections and waits for requests in progress until ctx ends.
-func (s *HTTP) Shutdown(ctx context.Context) { _ = s.srv.Shutdown(ctx) }
-
-// Close closes the listener and all connections immediately.
-func (s *HTTP) Close() { _ = s.srv.Close() }
-
 // WaitForStop returns at the first SIGTERM or SIGINT. A second one exits the process with
 // code 1.
 func WaitForStop(log zerolog.Logger) {
--- a/internal/app/dev/dev.go
+++ b/internal/app/dev/dev.go
@@ -15,6 +15,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/adapter/enginehttp"
 	"github.com/cassiapass/cassiapass/internal/adapter/hostlisthttp"
+	"github.com/cassiapass/cassiapass/internal/adapter/httpserver"
 	"github.com/cassiapass/cassiapass/internal/adapter/rpc"
 	"github.com/cassiapass/cassiapass/internal/app/agent"
 	"github.com/cassiapass/cassiapass/internal/app/control"
@@ -85,13 +86,13 @@
 	Agents    []*AgentProc
 	Store     *fake.Store
 	Hosts     *fake.HostList
-	hostsHTTP *daemon.HTTP
+	hostsHTTP *httpserver.Server
 }
 
 // ControlProc is one control host.
 type ControlProc struct {
 	*control.Control
-	API   *daemon.HTTP
+	API   *httpserver.Server
 	Relay *fake.Relay
 	Dir   string
 }
@@ -99,8 +100,8 @@
 // EntryProc is one entry.
 type EntryProc struct {
 	*entry.Entry
-	API *daemon.HTTP
-	Ops *daemon.HTTP
+	API *httpserver.Server
+	Ops *httpserver.Server
 }
 
 // AgentProc is one agent with its fake engine or plain service.
@@ -108,10 +109,10 @@
 type AgentProc struct {
 	*agent.Agent
 	Cfg         agent.Config
-	Ops         *daemon.HTTP
+	Ops         *httpserver.Server
 	Engine      *fake.Engine
 	Plain       *fake.Plain
-	ServiceHTTP *daemon.HTTP
+	ServiceHTTP *httpserver.Server
 	Relay       *fake.Relay
 }
 
@@ -128,7 +129,7 @@
 func Start(ctx context.Context, cfg Config) (*System, error) {
 	s := &System{cfg: cfg, Store: cfg.Store, Hosts: fake.NewHostList()}
 	var err error
-	if s.hostsHTTP, err = daemon.Serve("127.0.0.1:0", s.Hosts, "", "", cfg.Log); err != nil {
+	if s.hostsHTTP, err = daemon.Serve("127.0.0.1:0", s.Hosts, daemon.Listener{Log: cfg.Log}); err != nil {
 		return nil, err
 	}
 	for i := range cfg.Controls {
@@ -197,7 +198,7 @@
 		p.Relay.SetTarget(c.ListenAddr())
 	}
 	p.Control = c
-	if p.API, err = daemon.Serve(s.listen("control-http", i), c.API(""), "", "", log); err != nil {
+	if p.API, err = daemon.Serve(s.listen("control-http", i), c.API(""), daemon.Listener{Log: log}); err != nil {
 		return err
 	}
 	return nil
@@ -267,7 +268,7 @@
 
 func (s *System) startEngine(i int, spec EngineSpec) error {
 	eng := fake.NewEngine(fake.EngineConfig{Memory: spec.Memory, HonoursFence: spec.HonoursFence, Store: s.cfg.Store, FirstToken: s.cfg.FirstToken, TokenEvery: s.cfg.TokenEvery})
-	back, err := daemon.Serve("127.0.0.1:0", eng.Handler(), "", "", s.cfg.Log)
+	back, err := daemon.Serve("127.0.0.1:0", eng.Handler(), daemon.Listener{Log: s.cfg.Log})
 	if err != nil {
 		return err
 	}
@@ -280,7 +281,7 @@
 
 func (s *System) startPlain(name string) error {
 	plain := fake.NewPlain()
-	back, err := daemon.Serve("127.0.0.1:0", plain, "", "", s.cfg.Log)
+	back, err := daemon.Serve("127.0.0.1:0", plain, daemon.Listener{Log: s.cfg.Log})
 	if err != nil {
 		return err
 	}
@@ -327,7 +328,7 @@
 	if p.Ops != nil {
 		p.Ops.Close()
 	}
-	p.Ops, err = daemon.Serve(s.listen("agent-http", i), a.API(), "", "", cfg.Log)
+	p.Ops, err = daemon.Serve(s.listen("agent-http", i), a.API(), daemon.Listener{Log: cfg.Log})
 	return err
 }
 
@@ -343,10 +344,10 @@
 	}
 	p := &EntryProc{Entry: entry.New(cfg)}
 	var err error
-	if p.API, err = daemon.Serve(s.listen("entry", i), p.Entry.API(), "", "", cfg.Log); err != nil {
+	if p.API, err = daemon.Serve(s.listen("entry", i), p.Entry.API(), daemon.Listener{Log: cfg.Log}); err != nil {
 		return err
 	}
-	if p.Ops, err = daemon.Serve(s.listen("entry-http", i), p.Entry.Ops(), "", "", cfg.Log); err != nil {
+	if p.Ops, err = daemon.Serve(s.listen("entry-http", i), p.Entry.Ops(), daemon.Listener{Log: cfg.Log}); err != nil {
 		return err
 	}
 	if i < len(s.Entries) {
--- a/internal/app/dev/main.go
+++ b/internal/app/dev/main.go
@@ -86,7 +86,7 @@
 func engineOnly(addr string, log zerolog.Logger) (int, error) {
 	cfg := DefaultConfig("", log)
 	eng := fake.NewEngine(fake.EngineConfig{Memory: cfg.Engines[0].Memory, HonoursFence: true, Store: cfg.Store, FirstToken: cfg.FirstToken, TokenEvery: cfg.TokenEvery})
-	srv, err := daemon.Serve(addr, eng.Handler(), "", "", log)
+	srv, err := daemon.Serve(addr, eng.Handler(), daemon.Listener{Log: log})
 	if err != nil {
 		return 1, err
 	}
--- a/internal/app/entry/api.go
+++ b/internal/app/entry/api.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -14,6 +13,8 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/clients"
+	"github.com/cassiapass/cassiapass/internal/adapter/httpserver"
 	"github.com/cassiapass/cassiapass/internal/adapter/opshttp"
 	"github.com/cassiapass/cassiapass/internal/core/ident"
 	"github.com/cassiapass/cassiapass/internal/core/record"
@@ -229,9 +230,11 @@
 }
 
 func (e *Entry) readBody(c echo.Context) ([]byte, *refusal) {
-	raw, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, e.cfg.MaxBody))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	raw, err := httpserver.ReadBody(c.Request(), e.cfg.MaxBody)
+	if errors.Is(err, clients.ErrCrowded) {
+		return nil, notRun("too_much_held", err.Error(), time.Second)
+	}
+	if errors.Is(err, httpserver.ErrTooLarge) {
 		return nil, &refusal{outcome: NotRun, status: http.StatusRequestEntityTooLarge, kind: kindRequest, code: "body_too_large", message: "the body exceeds " + strconv.FormatInt(e.cfg.MaxBody, 10) + " bytes"}
 	}
 	if err != nil {
--- a/internal/app/entry/sink.go
+++ b/internal/app/entry/sink.go
@@ -9,10 +9,14 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/cassiapass/cassiapass/internal/adapter/httpserver"
 	"github.com/cassiapass/cassiapass/internal/wire"
 )
 
-const maxBuffered = 1 << 20 // an answer that is not streamed is sent only when complete, up to this size
+const (
+	maxBuffered     = 1 << 20  // an answer that is not streamed is sent only when complete, up to this size
+	uncountedBuffer = 16 << 10 // a buffer up to this size is part of what each request takes
+)
 
 // httpSink writes an answer to the caller.
 //
@@ -30,6 +34,7 @@
 	streaming    bool // bytes are sent to the caller as they arrive
 	header       *wire.Head
 	buffered     []byte
+	counted      int64 // bytes of the buffer that count as held
 	total        int64
 }
 
@@ -76,7 +81,7 @@
 		return s.send(p)
 	}
 	s.buffered = append(s.buffered, p...)
-	if len(s.buffered) > maxBuffered {
+	if len(s.buffered) > maxBuffered || !s.count() {
 		return s.activate()
 	}
 	return nil
@@ -94,6 +99,16 @@
 	return s.rc.Flush()
 }
 
+// count counts a large buffer as held for the caller; false if too much is held for all callers.
+func (s *httpSink) count() bool {
+	grown := int64(cap(s.buffered)) - s.counted
+	if cap(s.buffered) <= uncountedBuffer || grown <= 0 {
+		return true
+	}
+	s.counted += grown
+	return httpserver.Reserve(s.c.Request(), grown)
+}
+
 func (s *httpSink) finish() error {
 	if s.streaming {
 		if s.events {
