Names that clients invent: what the deployment does not have is no demand; log lines wait in bounded bytes

What was seen: beside 300 callers who asked for 4,500 models and adapters that nobody has, with names of 14 kB, the leader of 96 MB held 108 MB, and each entry 58 MB. With a slow reader of its log, an entry kept 2,048 lines of 16 kB.

Cause: entries report each name that is asked for as demand, and the leader keeps it for its forecasts; the log's queue was bounded in lines alone.

An entry reports demand only for models and adapters that its deployment has; the request itself goes on as before. The log's queue is bounded to 4 MB as well; lines beyond are counted as dropped, as ever.

Read and found bounded: suspects and quarantines (hashes, 4,096 cases), streams' origins (hashes, 32,768), answered requests and parts (hashes, 4,096), unknown fields (64 names), labels of metrics (200 customers, by the configuration), ids that a connection carried (256), endpoints' counts (only what they hold), objectives by model (pace.MaxSums), API keys (while a request runs).

TestLongLinesTakeBoundedMemory red before. A request whose body was whole at the moment in which its client was chosen to make way is refused now, and no longer runs uncounted. Grown read buffers are used again.

--- a/internal/adapter/clients/clients.go
+++ b/internal/adapter/clients/clients.go
@@ -108,10 +108,20 @@
 	return c.Reserve(n)
 }
 
-// Arrived records that a request has arrived whole, and counts n bytes as no longer held.
-func (c *Client) Arrived(n int64) {
-	c.SetState(intake.Serving)
-	c.Release(n)
+// Arrived records that a request has arrived whole, and counts n bytes as no longer held. It returns false
+// if the client is to be refused instead.
+func (c *Client) Arrived(n int64) bool {
+	if c == nil {
+		return true
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	if c.entry.Evicted() {
+		return false
+	}
+	c.r.ledger.Release(&c.entry, n)
+	c.r.ledger.SetState(&c.entry, intake.Serving, time.Now())
+	return true
 }
 
 // Release counts n bytes as no longer held.
--- a/internal/adapter/http1/server.go
+++ b/internal/adapter/http1/server.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -111,7 +112,7 @@
 		return nil
 	}
 	if c.br.Size() > readBuffer {
-		c.br = bufio.NewReaderSize(c.nc, readBuffer)
+		c.shrinkBuffer()
 	}
 	if err := c.setReadDeadline(time.Now().Add(c.limits().IdleTimeout)); err != nil {
 		return err
@@ -127,8 +128,7 @@
 		return nil, errCrowded
 	}
 	r, err := c.readRequest()
-	if err == nil {
-		c.client.Arrived(sockets.ReceiveBytes)
+	if err == nil && c.client.Arrived(sockets.ReceiveBytes) {
 		return r, nil
 	}
 	if c.client.Evicted() || errors.Is(err, clients.ErrCrowded) {
@@ -213,11 +213,32 @@
 		return errCrowded
 	}
 	kept, _ := c.br.Peek(c.br.Buffered())
-	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), c.nc), size)
+	r := io.MultiReader(bytes.NewReader(kept), c.nc)
+	if size == largeBuffer {
+		c.br = largeBuffers.Get().(*bufio.Reader)
+		c.br.Reset(r)
+	} else {
+		c.br = bufio.NewReaderSize(r, size)
+	}
 	_, err := c.br.Peek(len(kept))
 	return err
 }
 
+// largeBuffer is the size of a grown read buffer with the usual limit for heads.
+const largeBuffer = 16 << 10
+
+// largeBuffers are read buffers of largeBuffer that are not in use.
+var largeBuffers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, largeBuffer) }}
+
+// shrinkBuffer replaces a grown read buffer that holds nothing: an idle connection needs no large one.
+func (c *Conn) shrinkBuffer() {
+	if c.br.Size() == largeBuffer {
+		c.br.Reset(nil)
+		largeBuffers.Put(c.br)
+	}
+	c.br = bufio.NewReaderSize(c.nc, readBuffer)
+}
+
 // Watch calls onClose when the caller closes the connection before Unwatch. A
 // pipelined request stays buffered and ends the watch; if too much is held for the
 // bytes after it, the connection is closed.
--- a/internal/adapter/httpserver/body.go
+++ b/internal/adapter/httpserver/body.go
@@ -43,8 +43,8 @@
 	case int64(len(b)) < r.ContentLength:
 		return nil, io.ErrUnexpectedEOF
 	}
-	if counted {
-		c.arrived()
+	if counted && !c.arrived() {
+		return nil, clients.ErrCrowded
 	}
 	return b, nil
 }
--- a/internal/adapter/httpserver/conn.go
+++ b/internal/adapter/httpserver/conn.go
@@ -132,11 +132,16 @@
 	c.client.SetState(intake.Idle)
 }
 
-// arrived records that the request has arrived whole.
-func (c *conn) arrived() {
-	if c.phase.CompareAndSwap(int32(body), int32(whole)) {
-		c.client.Arrived(sockets.ReceiveBytes)
+// arrived records that the request has arrived whole; false if it is to be refused instead.
+func (c *conn) arrived() bool {
+	if phase(c.phase.Load()) != body {
+		return true
 	}
+	if !c.client.Arrived(sockets.ReceiveBytes) {
+		return false
+	}
+	c.phase.Store(int32(whole))
+	return true
 }
 
 // parsed replaces what was counted for the head by what it takes.
@@ -172,13 +177,11 @@
 func enter(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := r.Context().Value(connKey{}).(*conn)
-		if !c.parsed(r) {
+		if !c.parsed(r) || r.ContentLength == 0 && !c.arrived() {
 			Refuse(w)
 			return
 		}
-		if r.ContentLength == 0 {
-			c.arrived()
-		} else {
+		if r.ContentLength != 0 {
 			r.Body = &countedBody{r.Body, c}
 		}
 		h.ServeHTTP(w, r)
--- a/internal/adapter/logs/bounded.go
+++ b/internal/adapter/logs/bounded.go
@@ -22,7 +22,9 @@
 	queueSize = 2048
 	// reserved is the part of the queue that lines about ordinary successes may
 	// not use.
-	reserved    = queueSize / 2
+	reserved = queueSize / 2
+	// queueBytes bounds the lines that wait, which hold what clients send: ids and names of models.
+	queueBytes  = 4 << 20
 	reportEvery = time.Second
 	closeWait   = 200 * time.Millisecond
 )
@@ -41,6 +43,7 @@
 	out    io.Writer
 	limit  *rate.Limiter
 	queue  chan []byte
+	queued atomic.Int64 // bytes in queue
 	closed chan struct{}
 	done   chan struct{}
 
@@ -65,9 +68,15 @@
 		b.droppedOrdinary.Add(1)
 		return len(p), nil
 	}
+	if b.queued.Add(int64(len(p))) > queueBytes {
+		b.queued.Add(-int64(len(p)))
+		b.droppedOthers.Add(1)
+		return len(p), nil
+	}
 	select {
 	case b.queue <- bytes.Clone(p):
 	default:
+		b.queued.Add(-int64(len(p)))
 		b.droppedOthers.Add(1)
 	}
 	return len(p), nil
@@ -119,6 +128,7 @@
 }
 
 func (b *Bounded) put(line []byte) {
+	b.queued.Add(-int64(len(line)))
 	// If the reader is gone, the line is lost; there is nowhere to report the error.
 	_, _ = b.out.Write(line)
 }
--- a/internal/adapter/logs/bounded_test.go
+++ b/internal/adapter/logs/bounded_test.go
@@ -31,6 +31,23 @@
 	is.True(dropped > 40000)
 }
 
+// Guards against memory that lines with long names of clients take while their reader is slow.
+func TestLongLinesTakeBoundedMemory(t *testing.T) {
+	is := is.New(t)
+	r, w, err := os.Pipe()
+	is.NoErr(err)
+	defer r.Close()
+	defer w.Close()
+	log, b := NewBounded(w, zerolog.InfoLevel, "entry", "h")
+	id := strings.Repeat("r", 16<<10)
+	for range 2 * queueSize {
+		log.Warn().Str("request", id).Msg("request_not_run")
+	}
+	is.True(len(b.queue)*len(id) <= 4<<20)
+	_, dropped := b.Dropped()
+	is.True(dropped > 0)
+}
+
 type safeBuffer struct {
 	mu sync.Mutex
 	b  bytes.Buffer
--- a/internal/app/gateway/exchange.go
+++ b/internal/app/gateway/exchange.go
@@ -48,6 +48,7 @@
 	cost      float64            // units taken from the customer's allowance
 	decision  allowance.Decision // on that cost
 	service   string
+	demand    fleet.Want // what the leader is told that it wants; empty for what the deployment does not have
 	arrived   time.Time
 	deadline  time.Time // the earlier of the caller's and the route's time limits
 
@@ -147,7 +148,10 @@
 	defer abort(nil)
 	c.Watch(func() { abort(errCallerGone) })
 	defer g.revocations.track(x.requester, abort)()
-	g.demands.recordArrival(info.Want, x.levelToReport())
+	if t.Config().Has(x.service, info.Want.Model, info.Want.Adapter) {
+		x.demand = info.Want
+	}
+	g.demands.recordArrival(x.demand, x.levelToReport())
 	g.budget(x.service, func(b *limit.Shared) bool { b.Request(); return true })
 	x.standby = x.standsBy()
 	outcome := x.run(callerCtx)
@@ -281,7 +285,7 @@
 	defer func() {
 		x.g.dir.endWait(w)
 		if waits {
-			x.g.demands.endWait(x.info.Want, x)
+			x.g.demands.endWait(x.demand, x)
 			x.recordWait(got)
 			x.waited += time.Since(begin)
 		}
@@ -316,13 +320,13 @@
 			return nil
 		}
 		if short.onlyLimits && x.limit.known && fleet.WaitsInVain(x.limit.expected, maxWait-time.Since(begin), waits) {
-			x.g.demands.recordDeferred(x.info.Want)
+			x.g.demands.recordDeferred(x.demand)
 			return nil
 		}
 		if short.onlyPauses || reason == reasonAllTried {
 			soonest := x.soonest(time.Since(begin))
 			if fleet.WaitsInVain(soonest, maxWait-time.Since(begin), waits) {
-				x.g.demands.recordDeferred(x.info.Want)
+				x.g.demands.recordDeferred(x.demand)
 				return nil
 			}
 			timer.Reset(min(maxWait-time.Since(begin), max(soonest, minWakeGap)))
@@ -331,12 +335,12 @@
 		}
 		if reason == reasonNotLoaded && x.loadsTooLate(maxWait-time.Since(begin)) {
 			x.reason = reasonLoadedLate
-			x.g.demands.recordDeferred(x.info.Want)
+			x.g.demands.recordDeferred(x.demand)
 			return nil
 		}
 		if !waits {
 			waits = true
-			x.g.demands.beginWait(x.info.Want, x)
+			x.g.demands.beginWait(x.demand, x)
 			x.g.cfg.Log.Info().Str("request", x.info.ID).Str("service", x.service).Str("model", x.info.Want.Model).Str("adapter", x.info.Want.Adapter).
 				Str("reason", string(reason)).Str("limited", string(x.limit.endpoint)).Str("paused", string(x.pause.endpoint)).Dur("left", time.Until(x.deadline)).Dur("hold", maxWait).Dur("list_age", x.g.dir.listAge()).Msg("request_waits")
 		}
--- a/internal/core/deploy/deploy.go
+++ b/internal/core/deploy/deploy.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cassiapass/cassiapass/internal/core/customer"
@@ -99,9 +101,26 @@
 	Megabytes   int64
 	AdapterSize int64 // megabytes of each adapter
 	Adapters    int   // number of adapters
-	FromStore   time.Duration
-	FromDisk    time.Duration
-	FromMemory  time.Duration
+	// AdapterPrefix and a number from 1 on are the adapters' names; without it they are not known.
+	AdapterPrefix string
+	FromStore     time.Duration
+	FromDisk      time.Duration
+	FromMemory    time.Duration
+}
+
+// Has reports whether the deployment has a model and, unless adapter is empty, an adapter of it. Without a
+// list of models, or of adapters, any may exist.
+func (e *Engine) Has(model, adapter string) bool {
+	if e == nil || len(e.Models) == 0 {
+		return true
+	}
+	m := e.Models[model]
+	if m == nil || adapter == "" || m.AdapterPrefix == "" {
+		return m != nil
+	}
+	number, found := strings.CutPrefix(adapter, m.AdapterPrefix)
+	n, err := strconv.Atoi(number)
+	return found && err == nil && n >= 1 && n <= m.Adapters
 }
 
 // Limits bound the size of a request, the time in which a caller must send its header,
@@ -113,6 +132,12 @@
 	IdleTimeout   time.Duration
 }
 
+// Has reports whether a service has a model and, unless adapter is empty, an adapter of it.
+func (c *Config) Has(service, model, adapter string) bool {
+	s := c.Services[service]
+	return s == nil || s.Engine.Has(model, adapter)
+}
+
 // RunCopies tells whether engines of any service copy the memory of runs to other endpoints, and
 // whether any move runs. A nil configuration has none.
 func (c *Config) RunCopies() (backups, moves bool) {
--- a/internal/core/deploy/deploy_test.go
+++ b/internal/core/deploy/deploy_test.go
@@ -74,3 +74,15 @@
 		is.Equal(withoutPort(host), want)
 	}
 }
+
+// Guards against models and adapters that only a client has named.
+func TestOnlyModelsOfTheDeploymentExist(t *testing.T) {
+	is := is.New(t)
+	e := &Engine{Models: map[string]*Model{"m": {Adapters: 2, AdapterPrefix: "a"}, "n": {Adapters: 1}}}
+	is.True(e.Has("m", "") && e.Has("m", "a1") && e.Has("m", "a2") && e.Has("n", "any"))
+	for _, adapter := range []string{"a0", "a3", "b1", "a", "a1x"} {
+		is.True(!e.Has("m", adapter)) // adapter
+	}
+	is.True(!e.Has("o", ""))
+	is.True((*Engine)(nil).Has("o", "") && (&Engine{}).Has("o", "a1"))
+}
