Entry: no crash when a request has arrived whole just as its client is to make way

Cause: the ledger knew that the client was to be refused before the connection did. A request that was whole in between was neither served nor refused.

Both learn of it under one lock, and such a request is refused as any other. Ruled out: requests that were lost by the pool of read buffers (the trace shows the request, not its body).

--- a/internal/adapter/clients/clients.go
+++ b/internal/adapter/clients/clients.go
@@ -27,7 +27,7 @@
 	entry intake.Client
 	evict func()
 
-	evicted atomic.Bool // set before evict is called
+	evicted atomic.Bool // as in the ledger; set before evict is called
 }
 
 // New returns a Registry with limits.
@@ -44,11 +44,11 @@
 		r.refusedConns++
 	}
 	if closed != nil {
-		r.evicted++
+		r.mark(closed)
 	}
 	r.mu.Unlock()
 	if closed != nil {
-		closed.Owner.(*Client).refuse()
+		closed.Owner.(*Client).evict()
 	}
 	if !ok {
 		return nil
@@ -56,10 +56,18 @@
 	return c
 }
 
-// refuse tells the connection that its client is to be refused.
-func (c *Client) refuse() {
-	c.evicted.Store(true)
-	c.evict()
+// mark records that a client is to be refused. The caller holds mu, so that nobody finds the client evicted
+// in the ledger and not here.
+func (r *Registry) mark(c *intake.Client) {
+	c.Owner.(*Client).evicted.Store(true)
+	r.evicted++
+}
+
+// Used returns the bytes that all clients hold, and their connections.
+func (r *Registry) Used() (bytes int64, conns int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.Used()
 }
 
 // SetState records what the client does from now on. One without a request holds nothing any more. It
@@ -91,13 +99,15 @@
 	}
 	c.r.mu.Lock()
 	refused, ok := c.r.ledger.Reserve(&c.entry, n, time.Now())
-	c.r.evicted += uint64(len(refused))
+	for _, o := range refused {
+		c.r.mark(o)
+	}
 	if !ok {
 		c.r.refusedBytes++
 	}
 	c.r.mu.Unlock()
 	for _, o := range refused {
-		o.Owner.(*Client).refuse()
+		o.Owner.(*Client).evict()
 	}
 	return ok
 }
--- a/internal/adapter/http1/server.go
+++ b/internal/adapter/http1/server.go
@@ -128,7 +128,10 @@
 		return nil, errCrowded
 	}
 	r, err := c.readRequest()
-	if err == nil && c.client.Arrived(sockets.ReceiveBytes) {
+	if err == nil {
+		if !c.client.Arrived(sockets.ReceiveBytes) {
+			return nil, errCrowded
+		}
 		return r, nil
 	}
 	if c.client.Evicted() || errors.Is(err, clients.ErrCrowded) {
