Listeners on net/http: a refusal before the handler reaches a caller that still sends

What callers saw: one that was refused while its head or the first bytes of its body arrived found the connection reset.

Cause: the refusal was written and the connection closed with unread bytes.

--- a/internal/adapter/httpserver/conn.go
+++ b/internal/adapter/httpserver/conn.go
@@ -24,6 +24,10 @@
 	headBytesFactor = 40
 	// refusalTimeout bounds the write of a refusal to a connection that is closed after it.
 	refusalTimeout = 100 * time.Millisecond
+	// lingerTime and lingerBytes bound what is read of a refused request after its refusal: a connection
+	// that is closed with unread bytes is reset, and the refusal may be lost.
+	lingerTime  = time.Second
+	lingerBytes = 1 << 20
 )
 
 // refusal is sent where no handler has seen the request yet.
@@ -44,10 +48,11 @@
 // conn is a connection whose client is counted.
 type conn struct {
 	net.Conn
-	client *clients.Client
-	tls    bool
-	phase  atomic.Int32
-	head   atomic.Int64 // bytes counted for the head until it has been parsed
+	client  *clients.Client
+	tls     bool
+	phase   atomic.Int32
+	head    atomic.Int64 // bytes counted for the head until it has been parsed
+	refused atomic.Bool  // a refusal was written that the client may still read
 }
 
 // evict ends all reads and writes: the connection is to be closed, or its request refused.
@@ -62,6 +67,16 @@
 	if tc, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tc.CloseWrite()
 	}
+	c.refused.Store(true)
+}
+
+// linger reads on for a short time, so that the client can read its refusal, and closes the connection.
+func (c *conn) linger() {
+	defer func() { _ = c.Close() }()
+	if !c.client.SetState(intake.Leaving) || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil || c.client.Closed() {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
 }
 
 // Read implements net.Conn. What arrives of a head counts as held.
@@ -119,8 +134,12 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. After a refusal the connection closes once the client has had time to read it.
 func (c *conn) Close() error {
+	if c.refused.Swap(false) {
+		go c.linger()
+		return nil
+	}
 	c.client.Close()
 	return c.Conn.Close()
 }
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -124,6 +124,6 @@
 			return c, nil
 		}
 		c.refuse()
-		_ = nc.Close()
+		_ = nc.Close() // it is not counted, so it gets no time
 	}
 }
