Entry: streams pay for what their callers have not read, not for their length

Cause: beyond 16 kB of an answer each write took two locked sections, and the answer counted 128 kB until its end. Streams of some 50 events pass 16 kB, so ordinary ones paid for it, and 600 at once would have used up the memory of an entry of 284 MB.

An answer now counts once more than 16 kB of it may be unread; for parts of streams the kernel is asked, once in 16 kB, how much the caller has not acknowledged. Only a single part of more than 16 kB (an answer that was buffered whole) takes the locked sections, since it may block for long.

--- a/internal/adapter/http1/server.go
+++ b/internal/adapter/http1/server.go
@@ -32,8 +32,9 @@
 	chunked bool
 	method  string // of the newest request
 	noBody  bool   // the response has no body, whatever is written
-	// written are the bytes of the newest answer; sendCounted is set once those in the kernel count as held.
-	written     int
+	// unread are bytes of the newest answer that the caller may not have read; sendCounted is set once
+	// they count as held.
+	unread      int
 	sendCounted bool
 	// toTheEnd is set while a body is under way that ends with the connection.
 	toTheEnd atomic.Bool
@@ -186,7 +187,7 @@
 	if err := c.setReadDeadline(time.Time{}); err != nil {
 		return nil, err
 	}
-	c.method, c.written, c.sendCounted = r.Method, 0, false
+	c.method, c.unread, c.sendCounted = r.Method, 0, false
 	c.close = r.Close || (r.ProtoMajor == 1 && r.ProtoMinor == 0)
 	return &Request{
 		Method: r.Method, Target: r.RequestURI, Path: r.URL.EscapedPath(), Host: r.Host, Header: r.Header,
@@ -296,7 +297,7 @@
 		return c.write(b)
 	}
 	if len(body) > smallWrite {
-		return c.write(b, body)
+		return c.writeLarge(b, body, nil)
 	}
 	return c.write(append(b, body...))
 }
@@ -355,7 +356,7 @@
 		return c.write(p)
 	}
 	if len(p) > smallWrite {
-		return c.write(append(strconv.AppendInt(nil, int64(len(p)), 16), crlf...), p, crlf)
+		return c.writeLarge(append(strconv.AppendInt(nil, int64(len(p)), 16), crlf...), p, crlf)
 	}
 	b := make([]byte, 0, len(p)+16)
 	b = strconv.AppendInt(b, int64(len(p)), 16)
@@ -374,19 +375,39 @@
 	return c.write([]byte("0\r\n\r\n"))
 }
 
-// write writes parts of an answer. The kernel holds what the caller has not read; beyond a small answer
-// that counts as held for the caller.
-func (c *Conn) write(parts ...[]byte) error {
-	for _, p := range parts {
-		c.written += len(p)
+// write writes a part of an answer.
+func (c *Conn) write(b []byte) error {
+	if err := c.beginWrite(len(b)); err != nil {
+		return err
+	}
+	_, err := c.nc.Write(b)
+	return err
+}
+
+// writeLarge writes a large part of an answer with what frames it, without copying either. While the caller
+// does not read it, it may be closed for others.
+func (c *Conn) writeLarge(before, part, after []byte) error {
+	if err := c.beginWrite(len(before) + len(part) + len(after)); err != nil {
+		return err
 	}
-	if c.written > smallWrite {
-		if !c.sendCounted && !c.client.Reserve(sockets.SendBytes) {
+	c.client.SetState(intake.Answering)
+	defer c.client.SetState(intake.Serving)
+	all := net.Buffers{before, part, after}
+	_, err := all.WriteTo(c.nc)
+	return err
+}
+
+// beginWrite prepares a write of n bytes. More than a small answer that the caller has not read counts as
+// held: the kernel holds it.
+func (c *Conn) beginWrite(n int) error {
+	if c.unread += n; c.unread > smallWrite && !c.sendCounted {
+		if n <= smallWrite {
+			c.unread = n + sockets.Unacknowledged(c.nc)
+		}
+		c.sendCounted = c.unread > smallWrite
+		if c.sendCounted && !c.client.Reserve(sockets.SendBytes) {
 			return errAnswerCrowded
 		}
-		c.sendCounted = true
-		c.client.SetState(intake.Answering)
-		defer c.client.SetState(intake.Serving)
 	}
 	if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
@@ -394,13 +415,7 @@
 	if c.sendCounted && c.client.Evicted() {
 		return errAnswerCrowded
 	}
-	if len(parts) == 1 {
-		_, err := c.nc.Write(parts[0])
-		return err
-	}
-	all := net.Buffers(parts)
-	_, err := all.WriteTo(c.nc)
-	return err
+	return nil
 }
 
 func (c *Conn) appendHead(b []byte, status int, h http.Header) []byte {
--- a/internal/adapter/sockets/sockets.go
+++ b/internal/adapter/sockets/sockets.go
@@ -73,6 +73,27 @@
 	return net.Dialer{Timeout: timeout, Control: boundedControl, KeepAliveConfig: keepAlive}
 }
 
+// Unacknowledged returns the bytes written to a connection that the other end has not acknowledged, 0 if the
+// system does not tell.
+func Unacknowledged(nc net.Conn) int {
+	t, ok := nc.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	if err := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); err != nil {
+		return 0
+	}
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // ListenConfig returns a net.ListenConfig with these options.
 func ListenConfig() net.ListenConfig {
 	return net.ListenConfig{Control: control, KeepAliveConfig: keepAlive}
