--- a/internal/adapter/http1/server.go
+++ b/internal/adapter/http1/server.go
@@ -61,7 +61,7 @@
 var errAnswerCrowded = errors.New("too much is held for clients to send a large answer")
 
 // NewConn returns a Conn. limits is called for each request. What the connection holds is counted in
-// registry; nil counts nothing. It returns nil if no connection is left: Refuse may tell the caller so.
+// registry; nil counts nothing. It returns nil if no connection is left: RefuseConn may tell the caller so.
 func NewConn(nc net.Conn, limits func() Limits, registry *clients.Registry) *Conn {
 	c := &Conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), limits: limits}
 	if registry == nil {
