--- a/internal/adapter/httpserver/server_test.go
+++ b/internal/adapter/httpserver/server_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,6 +19,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/adapter/clients"
 	"github.com/cassiapass/cassiapass/internal/core/intake"
+	"github.com/cassiapass/cassiapass/internal/fake/crowd"
 )
 
 const testBody = 256 << 10 // largest body
@@ -139,7 +139,7 @@
 		callers.Go(func() {
 			r := rand.New(rand.NewPCG(uint64(n), 2))
 			for range 40 {
-				sendRandomly(r, s.Addr())
+				crowd.SendRandomly(r, s.Addr(), "POST / HTTP/1.1\r\nHost: x\r\n")
 			}
 		})
 	}
@@ -149,28 +149,3 @@
 	is.Equal(status, http.StatusOK)
 	is.Equal(string(got), "body")
 }
-
-// sendRandomly sends a request whole or in part, reads the answer or not, and closes the connection.
-func sendRandomly(r *rand.Rand, addr string) {
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		return
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(time.Duration(20+r.IntN(200)) * time.Millisecond))
-	size := r.IntN(1 << (8 + r.IntN(11)))
-	head := "POST / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:b\r\n", r.IntN(500))
-	text := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, size, strings.Repeat("y", size))
-	if r.IntN(2) == 0 {
-		text = fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, size, strings.Repeat("y", size))
-	}
-	if r.IntN(3) == 0 {
-		text = text[:r.IntN(len(text))]
-	}
-	if r.IntN(4) == 0 {
-		text += text
-	}
-	if _, err := io.WriteString(c, text); err == nil && r.IntN(3) > 0 {
-		_, _ = io.Copy(io.Discard, c)
-	}
-}
--- a/internal/app/gateway/crowd_test.go
+++ b/internal/app/gateway/crowd_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,6 +15,7 @@
 
 	"github.com/cassiapass/cassiapass/internal/core/deploy"
 	"github.com/cassiapass/cassiapass/internal/core/intake"
+	"github.com/cassiapass/cassiapass/internal/fake/crowd"
 )
 
 // Guards against a crash, or against something that stays counted, when clients are refused at any moment
@@ -41,7 +41,7 @@
 		callers.Go(func() {
 			r := rand.New(rand.NewPCG(uint64(n), 1))
 			for i := range 40 {
-				sendRandomly(r, g.Addr(), fmt.Sprintf("c%d-%d", n, i))
+				crowd.SendRandomly(r, g.Addr(), fmt.Sprintf("POST /safe/a HTTP/1.1\r\nHost: x.example\r\nId: c%d-%d\r\n", n, i))
 			}
 		})
 	}
@@ -55,28 +55,3 @@
 	}
 	is.Equal(dial(t, g).ask("POST", "/safe/a", "last", "body").status, 200)
 }
-
-// sendRandomly sends a request whole or in part, reads the answer or not, and closes the connection.
-func sendRandomly(r *rand.Rand, addr, id string) {
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		return
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(time.Duration(20+r.IntN(200)) * time.Millisecond))
-	size := r.IntN(1 << (8 + r.IntN(12)))
-	head := fmt.Sprintf("POST /safe/a HTTP/1.1\r\nHost: x.example\r\nId: %s\r\n%s", id, strings.Repeat("a:b\r\n", r.IntN(500)))
-	text := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, size, strings.Repeat("y", size))
-	if r.IntN(2) == 0 {
-		text = fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, size, strings.Repeat("y", size))
-	}
-	if r.IntN(3) == 0 {
-		text = text[:r.IntN(len(text))]
-	}
-	if r.IntN(4) == 0 {
-		text += text
-	}
-	if _, err := io.WriteString(c, text); err == nil && r.IntN(3) > 0 {
-		_, _ = io.Copy(io.Discard, c)
-	}
-}
