Logs: the time format of all loggers is set once

Cause: each logger set the global.

It is set once. Ruled out: the queue's count of bytes (atomic; the trace shows the global alone).

--- a/internal/adapter/logs/logs.go
+++ b/internal/adapter/logs/logs.go
@@ -7,6 +7,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,9 +19,12 @@
 	return zerolog.New(format(w)).Level(level).With().Timestamp().Str("role", role).Str("host", host).Logger()
 }
 
+// setTimeFormat sets the time format of all loggers, which others may be reading already.
+var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = time.RFC3339Nano })
+
 // format returns a writer that converts zerolog's JSON lines to key=value pairs.
 func format(w io.Writer) io.Writer {
-	zerolog.TimeFieldFormat = time.RFC3339Nano
+	setTimeFormat()
 	return zerolog.ConsoleWriter{
 		Out:           w,
 		NoColor:       true,
