--- /dev/null
+++ b/review/bed-2/slowreader.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	slowClients = 6
+	bodySize    = 250_000
+	// slowPiece each slowPause is 16 KB a second.
+	slowPiece = 4 << 10
+	slowPause = 250 * time.Millisecond
+	timeLimit = 20 * time.Second
+	// slowWindow and slowSegment are those of a slow link: the 64 KB of a loopback device would hold much
+	// of the answer.
+	slowWindow  = 16 << 10
+	slowSegment = 1448
+)
+
+// slowReader has requesters read their answers at 16 KB a second, steadily and within their time limit.
+func slowReader(b *bed, trouble bool) (bool, error) {
+	b.site = frachtwacht
+	l, err := net.Listen("tcp", b.addr(31, portServer))
+	if err != nil {
+		return false, err
+	}
+	s := &serverConfig{id: "i-sound", version: "v1", log: b.rec.printf, answer: func(s *serverConfig, c net.Conn, r *http.Request) bool {
+		id := r.Header.Get("Request-Id")
+		n, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
+		_, err := c.Write(append([]byte(s.head(id, fmt.Sprintf("Content-Length: %d\r\n", n))), body(id, n)...))
+		return err == nil
+	}}
+	go s.serve(l)
+	b.setList(b.entryOf(31, "i-sound", "v1", time.Now().UnixMilli()))
+	if err := b.startSystem(2); err != nil {
+		return false, err
+	}
+	if err := b.deploy(config(route("report", "/report/", "non_idempotent", int(timeLimit.Milliseconds()), 1, false)), 2); err != nil {
+		return false, err
+	}
+	foreign, cut, whole := 0, 0, 0
+	results := make([]readResult, slowClients)
+	var wg sync.WaitGroup
+	for i := range slowClients {
+		wg.Go(func() { results[i] = b.readSlowly(fmt.Sprintf("slow%d", i), b.front(i%2), bodySize, trouble) })
+	}
+	wg.Wait()
+	for _, r := range results {
+		b.rec.printf("requester got %s", r)
+		switch {
+		case r.err != nil && !r.begun:
+			return false, fmt.Errorf("%w: %w", errUnexpected, r.err)
+		case r.foreignAt >= 0:
+			foreign++
+		case !r.complete:
+			cut++
+		default:
+			whole++
+		}
+	}
+	b.rec.printf("%d answers whole, %d with bytes in them that are not the server's, %d cut while time was left", whole, foreign, cut)
+	fmt.Printf("whole %d, with foreign bytes %d, cut %d\n", whole, foreign, cut)
+	return foreign > 0 || cut > 3, nil
+}
+
+// readResult is what a requester saw of one answer.
+type readResult struct {
+	id        string
+	size      int
+	got       int
+	status    int
+	signature string
+	begun     bool // a head arrived
+	complete  bool // as many bytes as the head announced
+	foreignAt int  // of the first byte that is not the server's; -1 if there is none
+	foreign   string
+	took      time.Duration
+	err       error
+}
+
+// String implements fmt.Stringer.
+func (r readResult) String() string {
+	s := fmt.Sprintf("%s: status %d, signature %q, %d of %d bytes in %.1f s, complete: %v", r.id, r.status, r.signature, r.got, r.size, r.took.Seconds(), r.complete)
+	if r.foreignAt >= 0 {
+		s += fmt.Sprintf(", from byte %d on not the server's: %q", r.foreignAt, r.foreign)
+	}
+	if r.err != nil {
+		s += ", ended with: " + r.err.Error()
+	}
+	return s
+}
+
+// slowConn is read a piece at a time.
+type slowConn struct {
+	net.Conn
+	slow bool
+}
+
+// Read implements io.Reader.
+func (c *slowConn) Read(p []byte) (int, error) {
+	if c.slow {
+		time.Sleep(slowPause)
+		p = p[:min(len(p), slowPiece)]
+	}
+	return c.Conn.Read(p)
+}
+
+// readSlowly sends a request and reads its answer.
+func (b *bed) readSlowly(id, front string, size int, slow bool) readResult {
+	r := readResult{id: id, size: size, foreignAt: -1}
+	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, rc syscall.RawConn) error {
+		var err error
+		cerr := rc.Control(func(fd uintptr) {
+			err = errors.Join(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowWindow), syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, slowSegment))
+		})
+		return errors.Join(cerr, err)
+	}}
+	nc, err := d.Dial("tcp", front)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	defer nc.Close()
+	sc := &slowConn{Conn: nc}
+	br := bufio.NewReaderSize(sc, slowPiece)
+	// The channel is kept from an earlier request, which is answered at once.
+	if resp, err := b.ask(nc, br, id+"a", 100); err != nil {
+		r.err = err
+		return r
+	} else if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		r.err = err
+		return r
+	}
+	sc.slow = slow
+	begin := time.Now()
+	b.rec.printf("requester sends %s for %d bytes to %s on a kept channel, time limit %v, slow: %v", id, size, front, timeLimit, slow)
+	resp, err := b.ask(nc, br, id, size)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	r.begun, r.status, r.signature = true, resp.StatusCode, resp.Header.Get("Response-Signature")
+	got := make([]byte, size)
+	r.got, err = io.ReadFull(resp.Body, got)
+	r.took = time.Since(begin)
+	r.complete, r.err = err == nil, err
+	for i := range r.got {
+		if got[i] != pattern(id, i) {
+			r.foreignAt = i
+			r.foreign = string(got[i:min(r.got, i+120)])
+			break
+		}
+	}
+	return r
+}
+
+// ask sends a request on a channel and reads the head of its answer.
+func (b *bed) ask(nc net.Conn, br *bufio.Reader, id string, size int) (*http.Response, error) {
+	_ = nc.SetDeadline(time.Now().Add(timeLimit))
+	if _, err := fmt.Fprintf(nc, "POST /report/x?bytes=%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline: %d\r\nContent-Length: 2\r\n\r\n{}", size, host, id, timeLimit.Milliseconds()); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(br, nil)
+}
