--- a/review/bed-2/slowreader.go
+++ b/review/bed-2/slowreader.go
@@ -16,17 +16,16 @@
 const (
 	slowClients = 6
 	bodySize    = 250_000
-	// slowPiece each slowPause is 16 KB a second.
-	slowPiece = 4 << 10
-	slowPause = 250 * time.Millisecond
-	timeLimit = 20 * time.Second
-	// slowWindow and slowSegment are those of a slow link: the 64 KB of a loopback device would hold much
-	// of the answer.
-	slowWindow  = 16 << 10
-	slowSegment = 1448
+	// A slow requester takes what has arrived four times a second. With a window of 4 kB that is about 20 kB
+	// a second.
+	slowPause   = 250 * time.Millisecond
+	slowWindow  = 4 << 10
+	slowSegment = 536
+	timeLimit   = 20 * time.Second
 )
 
-// slowReader has requesters read their answers at 16 KB a second, steadily and within their time limit.
+// slowReader has requesters read their answers slowly and steadily, fast enough for their time limit. In a
+// second round the answers end some bytes after the place at which the first round's went wrong.
 func slowReader(b *bed, trouble bool) (bool, error) {
 	b.site = frachtwacht
 	l, err := net.Listen("tcp", b.addr(31, portServer))
@@ -47,29 +46,41 @@
 	if err := b.deploy(config(route("report", "/report/", "non_idempotent", int(timeLimit.Milliseconds()), 1, false)), 2); err != nil {
 		return false, err
 	}
-	foreign, cut, whole := 0, 0, 0
-	results := make([]readResult, slowClients)
-	var wg sync.WaitGroup
-	for i := range slowClients {
-		wg.Go(func() { results[i] = b.readSlowly(fmt.Sprintf("slow%d", i), b.front(i%2), bodySize, trouble) })
+	sizes := make([]int, slowClients)
+	for i := range sizes {
+		sizes[i] = bodySize
 	}
-	wg.Wait()
-	for _, r := range results {
-		b.rec.printf("requester got %s", r)
-		switch {
-		case r.err != nil && !r.begun:
-			return false, fmt.Errorf("%w: %w", errUnexpected, r.err)
-		case r.foreignAt >= 0:
-			foreign++
-		case !r.complete:
-			cut++
-		default:
-			whole++
+	wrong, foreign, cut, whole := 0, 0, 0, 0
+	for round := range 2 {
+		results := make([]readResult, slowClients)
+		var wg sync.WaitGroup
+		for i := range slowClients {
+			wg.Go(func() { results[i] = b.readSlowly(fmt.Sprintf("slow%d%d", round, i), b.front(i%2), sizes[i], trouble) })
+		}
+		wg.Wait()
+		for i, r := range results {
+			b.rec.printf("requester got %s", r)
+			switch {
+			case r.err != nil && !r.begun:
+				return false, fmt.Errorf("%w: %w", errUnexpected, r.err)
+			case r.foreignAt >= 0 && r.complete:
+				wrong++
+			case r.foreignAt >= 0:
+				foreign++
+			case !r.complete:
+				cut++
+			default:
+				whole++
+			}
+			if r.foreignAt > 0 {
+				sizes[i] = r.foreignAt + 30 + 4*i
+			}
 		}
 	}
-	b.rec.printf("%d answers whole, %d with bytes in them that are not the server's, %d cut while time was left", whole, foreign, cut)
-	fmt.Printf("whole %d, with foreign bytes %d, cut %d\n", whole, foreign, cut)
-	return foreign > 0 || cut > 3, nil
+	summary := fmt.Sprintf("whole %d; complete successes with a body that is not the server's %d; bytes of no server within a body that did not end %d; cut while time was left %d", whole, wrong, foreign, cut)
+	b.rec.printf("%s", summary)
+	fmt.Println(summary)
+	return wrong+foreign > 0 || cut > 3, nil
 }
 
 // readResult is what a requester saw of one answer.
@@ -83,6 +94,7 @@
 	complete  bool // as many bytes as the head announced
 	foreignAt int  // of the first byte that is not the server's; -1 if there is none
 	foreign   string
+	after     string // bytes on the channel after the answer
 	took      time.Duration
 	err       error
 }
@@ -93,13 +105,16 @@
 	if r.foreignAt >= 0 {
 		s += fmt.Sprintf(", from byte %d on not the server's: %q", r.foreignAt, r.foreign)
 	}
+	if r.after != "" {
+		s += fmt.Sprintf(", and after the answer %q", r.after)
+	}
 	if r.err != nil {
 		s += ", ended with: " + r.err.Error()
 	}
 	return s
 }
 
-// slowConn is read a piece at a time.
+// slowConn is read slowly.
 type slowConn struct {
 	net.Conn
 	slow bool
@@ -109,7 +124,6 @@
 func (c *slowConn) Read(p []byte) (int, error) {
 	if c.slow {
 		time.Sleep(slowPause)
-		p = p[:min(len(p), slowPiece)]
 	}
 	return c.Conn.Read(p)
 }
@@ -131,7 +145,7 @@
 	}
 	defer nc.Close()
 	sc := &slowConn{Conn: nc}
-	br := bufio.NewReaderSize(sc, slowPiece)
+	br := bufio.NewReaderSize(sc, 64<<10)
 	// The channel is kept from an earlier request, which is answered at once.
 	if resp, err := b.ask(nc, br, id+"a", 100); err != nil {
 		r.err = err
@@ -149,15 +163,27 @@
 		return r
 	}
 	r.begun, r.status, r.signature = true, resp.StatusCode, resp.Header.Get("Response-Signature")
-	got := make([]byte, size)
-	r.got, err = io.ReadFull(resp.Body, got)
+	buf := make([]byte, 64<<10)
+	for r.got < size && r.err == nil && r.foreignAt < 0 {
+		var n int
+		n, r.err = resp.Body.Read(buf)
+		for i, c := range buf[:n] {
+			if c != pattern(id, r.got+i) {
+				r.foreignAt, r.foreign = r.got+i, string(buf[i:min(n, i+120)])
+				break
+			}
+		}
+		r.got += n
+	}
 	r.took = time.Since(begin)
-	r.complete, r.err = err == nil, err
-	for i := range r.got {
-		if got[i] != pattern(id, i) {
-			r.foreignAt = i
-			r.foreign = string(got[i:min(r.got, i+120)])
-			break
+	r.complete = r.got == size
+	if r.complete {
+		r.err = nil
+		_ = nc.SetReadDeadline(time.Now().Add(time.Second))
+		rest, _ := br.Peek(1)
+		if len(rest) > 0 {
+			rest, _ = br.Peek(br.Buffered())
+			r.after = string(rest[:min(len(rest), 120)])
 		}
 	}
 	return r
