--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -382,7 +382,7 @@
 		fmt.Fprintln(os.Stderr, "usage: bed-2 CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*bed, bool) (bool, error){"slow-reader": slowReader, "killed-entry": killedEntry, "same-id": sameID, "removed-server": removedServer}
+	cases := map[string]func(*bed, bool) (bool, error){"slow-reader": slowReader, "steady-reader": steadyReader, "killed-entry": killedEntry, "same-id": sameID, "removed-server": removedServer}
 	run, known := cases[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/bed-2/slowreader.go
+++ b/review/bed-2/slowreader.go
@@ -13,37 +13,31 @@
 	"time"
 )
 
+// pace is how a requester reads.
+type pace struct {
+	window, segment int // of its TCP connection, in bytes: as on a slow link
+	piece           int // bytes that it takes at a time at most
+	pause           time.Duration
+}
+
+var (
+	// fourTimes takes what has arrived, four times a second: with its window about 20 kB a second.
+	fourTimes = pace{window: 4 << 10, segment: 536, piece: 64 << 10, pause: 250 * time.Millisecond}
+	// steady takes 32 kB a second.
+	steady = pace{window: 32 << 10, segment: 1448, piece: 8 << 10, pause: 250 * time.Millisecond}
+)
+
 const (
 	slowClients = 6
 	bodySize    = 250_000
-	// A slow requester takes what has arrived four times a second. With a window of 4 kB that is about 20 kB
-	// a second.
-	slowPause   = 250 * time.Millisecond
-	slowWindow  = 4 << 10
-	slowSegment = 536
+	steadySize  = 400_000
 	timeLimit   = 20 * time.Second
 )
 
 // slowReader has requesters read their answers slowly and steadily, fast enough for their time limit. In a
 // second round the answers end some bytes after the place at which the first round's went wrong.
 func slowReader(b *bed, trouble bool) (bool, error) {
-	b.site = frachtwacht
-	l, err := net.Listen("tcp", b.addr(31, portServer))
-	if err != nil {
-		return false, err
-	}
-	s := &serverConfig{id: "i-sound", version: "v1", log: b.rec.printf, answer: func(s *serverConfig, c net.Conn, r *http.Request) bool {
-		id := r.Header.Get("Request-Id")
-		n, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
-		_, err := c.Write(append([]byte(s.head(id, fmt.Sprintf("Content-Length: %d\r\n", n))), body(id, n)...))
-		return err == nil
-	}}
-	go s.serve(l)
-	b.setList(b.entryOf(31, "i-sound", "v1", time.Now().UnixMilli()))
-	if err := b.startSystem(2); err != nil {
-		return false, err
-	}
-	if err := b.deploy(config(route("report", "/report/", "non_idempotent", int(timeLimit.Milliseconds()), 1, false)), 2); err != nil {
+	if err := b.startReport(); err != nil {
 		return false, err
 	}
 	sizes := make([]int, slowClients)
@@ -55,7 +49,9 @@
 		results := make([]readResult, slowClients)
 		var wg sync.WaitGroup
 		for i := range slowClients {
-			wg.Go(func() { results[i] = b.readSlowly(fmt.Sprintf("slow%d%d", round, i), b.front(i%2), sizes[i], trouble) })
+			wg.Go(func() {
+				results[i] = b.readSlowly(fmt.Sprintf("slow%d%d", round, i), b.front(i%2), sizes[i], fourTimes, trouble)
+			})
 		}
 		wg.Wait()
 		for i, r := range results {
@@ -83,6 +79,56 @@
 	return wrong+foreign > 0 || cut > 3, nil
 }
 
+// startReport starts the system with a sound server that answers with as many bytes as it is asked for.
+func (b *bed) startReport() error {
+	b.site = frachtwacht
+	l, err := net.Listen("tcp", b.addr(31, portServer))
+	if err != nil {
+		return err
+	}
+	s := &serverConfig{id: "i-sound", version: "v1", log: b.rec.printf, answer: func(s *serverConfig, c net.Conn, r *http.Request) bool {
+		id := r.Header.Get("Request-Id")
+		n, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
+		_, err := c.Write(append([]byte(s.head(id, fmt.Sprintf("Content-Length: %d\r\n", n))), body(id, n)...))
+		return err == nil
+	}}
+	go s.serve(l)
+	b.setList(b.entryOf(31, "i-sound", "v1", time.Now().UnixMilli()))
+	if err := b.startSystem(2); err != nil {
+		return err
+	}
+	return b.deploy(config(route("report", "/report/", "non_idempotent", int(timeLimit.Milliseconds()), 1, false)), 2)
+}
+
+// steadyReader has requesters read their answers steadily at 32 kB a second, fast enough for their time limit.
+func steadyReader(b *bed, trouble bool) (bool, error) {
+	if err := b.startReport(); err != nil {
+		return false, err
+	}
+	results := make([]readResult, slowClients)
+	var wg sync.WaitGroup
+	for i := range slowClients {
+		wg.Go(func() {
+			results[i] = b.readSlowly(fmt.Sprintf("steady%d", i), b.front(i%2), steadySize, steady, trouble)
+		})
+	}
+	wg.Wait()
+	whole, cut := 0, 0
+	for _, r := range results {
+		b.rec.printf("requester got %s", r)
+		switch {
+		case r.err != nil && !r.begun:
+			return false, fmt.Errorf("%w: %w", errUnexpected, r.err)
+		case r.complete && r.foreignAt < 0:
+			whole++
+		case r.took < timeLimit-time.Second:
+			cut++
+		}
+	}
+	fmt.Printf("whole %d, cut while time was left %d\n", whole, cut)
+	return cut > 3, nil
+}
+
 // readResult is what a requester saw of one answer.
 type readResult struct {
 	id        string
@@ -117,24 +163,26 @@
 // slowConn is read slowly.
 type slowConn struct {
 	net.Conn
+	pace pace
 	slow bool
 }
 
 // Read implements io.Reader.
 func (c *slowConn) Read(p []byte) (int, error) {
 	if c.slow {
-		time.Sleep(slowPause)
+		time.Sleep(c.pace.pause)
+		p = p[:min(len(p), c.pace.piece)]
 	}
 	return c.Conn.Read(p)
 }
 
 // readSlowly sends a request and reads its answer.
-func (b *bed) readSlowly(id, front string, size int, slow bool) readResult {
+func (b *bed) readSlowly(id, front string, size int, p pace, slow bool) readResult {
 	r := readResult{id: id, size: size, foreignAt: -1}
 	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, rc syscall.RawConn) error {
 		var err error
 		cerr := rc.Control(func(fd uintptr) {
-			err = errors.Join(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowWindow), syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, slowSegment))
+			err = errors.Join(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, p.window), syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, p.segment))
 		})
 		return errors.Join(cerr, err)
 	}}
@@ -144,7 +192,7 @@
 		return r
 	}
 	defer nc.Close()
-	sc := &slowConn{Conn: nc}
+	sc := &slowConn{Conn: nc, pace: p}
 	br := bufio.NewReaderSize(sc, 64<<10)
 	// The channel is kept from an earlier request, which is answered at once.
 	if resp, err := b.ask(nc, br, id+"a", 100); err != nil {
