--- a/review/bed-2/server.go
+++ b/review/bed-2/server.go
@@ -19,6 +19,7 @@
 type serverConfig struct {
 	id, version string
 	leaving     *atomic.Bool
+	gone        atomic.Int64 // Unix milliseconds of its removal, once it leaves
 	log         func(format string, args ...any)
 	// answer answers a request; it returns false if the connection is to be closed.
 	answer func(s *serverConfig, c net.Conn, r *http.Request) bool
@@ -72,6 +73,9 @@
 				status = "503 Service Unavailable"
 			}
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", status, s.id)
+		case r.URL.Path == "/report" && s.leaving != nil:
+			report := s.report()
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
 		case r.Header.Get("Request-Id") == "":
 			_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 		default:
@@ -83,6 +87,14 @@
 	}
 }
 
+// report returns what the server reports of itself.
+func (s *serverConfig) report() string {
+	if !s.leaving.Load() {
+		return `{"state":"ready","models":[],"busy":false,"sequence":1}`
+	}
+	return fmt.Sprintf(`{"state":"draining","remainingMs":%d,"models":[],"busy":false,"sequence":1}`, max(0, s.gone.Load()-time.Now().UnixMilli()))
+}
+
 // events writes a stream of numbered events that ends after the last one: in chunks, or without any
 // framing up to the end of the connection.
 func events(s *serverConfig, c net.Conn, r *http.Request) bool {
@@ -140,6 +152,7 @@
 		go func() {
 			for range time.Tick(20 * time.Millisecond) {
 				if _, err := os.Stat(*leavingFile); err == nil {
+					s.gone.CompareAndSwap(0, time.Now().Add(notice).UnixMilli())
 					leaving.Store(true)
 				}
 			}
