--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -338,11 +338,11 @@
 	for _, n := range b.nodes {
 		_ = n.cmd.Process.Signal(syscall.SIGTERM)
 	}
-	deadline := time.After(graceTime)
+	deadline := time.Now().Add(graceTime)
 	for _, n := range b.nodes {
 		select {
 		case <-n.ended:
-		case <-deadline:
+		case <-time.After(time.Until(deadline)):
 			_ = n.cmd.Process.Kill()
 			<-n.ended
 		}
